--- /dev/null
+++ b/src/gateway/backend-port.ts
@@ -0,0 +1,49 @@
+import type { Backend } from './backend.js'
+import type { CallerRequest } from './caller-request.js'
+import type { Exchange, ExchangeHead } from './http-exchange.js'
+
+/** Prompt memory that a prefill runner keeps for a decode runner. */
+export interface PromptHandle {
+  /** Address of the prefill runner. */
+  address: string
+  handle: string
+}
+
+/** One send of a caller's request to a server. */
+export interface Dispatch {
+  request: CallerRequest
+  backend: Backend
+  /** Time that the server may take, in milliseconds. */
+  deadlineMs: number
+  /** Longest wait for the head of the answer, in milliseconds. */
+  headTimeoutMs: number
+  ownConnection: boolean
+  /** Only has the prompt read. */
+  prefillOnly?: boolean
+  /** Where the prompt has been read already. */
+  source?: PromptHandle | null
+  /** The event after which a stream goes on. */
+  lastEventId?: string | null
+}
+
+/** What the head of an answer says beyond its status. */
+export enum HeadMeaning {
+  /** The server's own answer to this request. */
+  Answer = 'answer',
+  /** The server states that it did not run the request. */
+  NotRun = 'not-run',
+  /** Another server has the address. */
+  OtherServer = 'other-server',
+  /** An answer to another request, or a success without the server's signature. */
+  Invalid = 'invalid'
+}
+
+/** Calls of backend servers, in the protocol that they speak. */
+export interface BackendPort {
+  send: (dispatch: Dispatch) => Exchange
+  meaningOf: (dispatch: Dispatch, head: ExchangeHead) => HeadMeaning
+  /** Decodes the answer to a prefill; null if it is not one. */
+  promptHandle: (backend: Backend, body: Buffer) => PromptHandle | null
+  /** Frees prompt memory that will not be used. */
+  freePrompt: (handle: PromptHandle) => void
+}
--- /dev/null
+++ b/src/gateway/backend-table.ts
@@ -0,0 +1,102 @@
+import { type Backend, BackendState, incarnationOf, Stage } from './backend.js'
+
+/** Servers whose entry vanished around an outage of the store get this long to register again; the platform promises about two seconds. */
+export const RETURN_GRACE_MS = 2000
+
+interface Known {
+  backend: Backend
+  /** Set while the entry is missing after an outage of the store. */
+  missingSinceMs: number | null
+}
+
+export interface BackendChange {
+  kind: 'added' | 'leaving' | 'missing' | 'removed' | 'restarted'
+  backend: Backend
+}
+
+interface BackendTableOptions {
+  nowMs: () => number
+  /** Told of each change that the table believes. */
+  onChange?: (change: BackendChange) => void
+}
+
+/** The backend servers that may get work, by service. */
+export class BackendTable {
+  readonly #known = new Map<string, Known>()
+  readonly #options: BackendTableOptions
+  /** Until then a vanished entry may be the outage's doing. */
+  #outageUntilMs = -Infinity
+
+  constructor (options: BackendTableOptions) {
+    this.#options = options
+  }
+
+  /** Notes that the store can't be reached or has just returned; entries that vanish now may come back. */
+  markOutage (): void {
+    this.#outageUntilMs = this.#options.nowMs() + RETURN_GRACE_MS
+  }
+
+  /** Takes a complete listing of the store. */
+  replaceAll (backends: Backend[]): void {
+    const listed = new Set(backends.map(({ id }) => id))
+    for (const backend of backends) this.put(backend)
+    for (const id of [...this.#known.keys()]) if (!listed.has(id)) this.remove(id)
+  }
+
+  put (backend: Backend): void {
+    const before = this.#known.get(backend.id)
+    this.#known.set(backend.id, { backend, missingSinceMs: null })
+    if (before === undefined) return this.#tell('added', backend)
+    if (incarnationOf(before.backend) !== incarnationOf(backend)) return this.#tell('restarted', backend)
+    if (before.backend.state === BackendState.Ready && backend.state === BackendState.Leaving) this.#tell('leaving', backend)
+  }
+
+  remove (id: string): void {
+    const known = this.#known.get(id)
+    if (known === undefined) return
+    const nowMs = this.#options.nowMs()
+    const mayReturn = nowMs < this.#outageUntilMs && known.backend.state === BackendState.Ready
+    if (!mayReturn) {
+      this.#known.delete(id)
+      return this.#tell('removed', known.backend)
+    }
+    if (known.missingSinceMs === null) {
+      known.missingSinceMs = nowMs
+      this.#tell('missing', known.backend)
+    }
+  }
+
+  /** Drops entries that have not come back after an outage. */
+  expire (): void {
+    const nowMs = this.#options.nowMs()
+    if (nowMs < this.#outageUntilMs) return
+    for (const [id, { backend, missingSinceMs }] of this.#known) {
+      if (missingSinceMs === null) continue
+      this.#known.delete(id)
+      this.#tell('removed', backend)
+    }
+  }
+
+  get (id: string): Backend | undefined {
+    return this.#known.get(id)?.backend
+  }
+
+  all (): Backend[] {
+    return [...this.#known.values()].map(({ backend }) => backend)
+  }
+
+  /** Servers of a service that may get new work. */
+  ready (service: string, stage: Stage = Stage.None): Backend[] {
+    return this.all().filter((backend) => backend.service === service && backend.stage === stage && backend.state === BackendState.Ready)
+  }
+
+  /** Whether this life of the server may still get new work. */
+  accepts (backend: Backend): boolean {
+    const known = this.get(backend.id)
+    return known !== undefined && known.state === BackendState.Ready && incarnationOf(known) === incarnationOf(backend)
+  }
+
+  #tell (kind: BackendChange['kind'], backend: Backend): void {
+    this.#options.onChange?.({ kind, backend })
+  }
+}
--- /dev/null
+++ b/src/gateway/gateway-settings.ts
@@ -0,0 +1,30 @@
+import { z } from 'zod'
+
+const address = z.string().regex(/^[^:]+:\d+$/).describe('IP number and port')
+
+/** Settings of `daisybarrow-gateway`. */
+export const gatewaySettingsSchema = z.object({
+  id: z.string().min(1).describe('Id of this instance'),
+  ip: z.string().min(1).describe('IP number of this instance'),
+  failureDomain: z.string().min(1).describe('Failure domain of this instance'),
+  listeners: z.object({
+    callers: address.describe('Listener for requests of callers'),
+    readiness: address.describe('Listener for readiness checks'),
+    directory: address.describe('Listener for callers that ask for addresses'),
+    peerPort: z.int().positive().describe('Port for datagrams and snapshots between instances; the same on all instances'),
+    metricsPort: z.int().positive().describe('Port of metrics and state dump')
+  }),
+  storeAddress: address.describe('The platform\'s store'),
+  seeds: z.array(z.string()).default([]).describe('IP numbers of instances to contact first'),
+  configurationApplyMs: z.number().positive().default(2000).describe('Time in which an accepted configuration must be in force, in milliseconds'),
+  graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
+  addressLifetimeS: z.number().positive().default(2).describe('How long callers may keep an answer of the directory, in seconds'),
+  repeats: z.object({
+    ratio: z.number().nonnegative().describe('Repeats allowed for each request of a service'),
+    slack: z.number().nonnegative().describe('Repeats allowed to all instances together in one window besides'),
+    windowS: z.number().positive().describe('Length of the window in seconds')
+  }),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Lowest level of log lines written')
+})
+
+export type GatewaySettings = z.infer<typeof gatewaySettingsSchema>
--- /dev/null
+++ b/src/gateway/gateway.ts
@@ -0,0 +1,322 @@
+import type { Log } from '../logs/log.js'
+import { type Backend, incarnationOf } from './backend.js'
+import type { BackendPort } from './backend-port.js'
+import { BackendTable, type BackendChange, RETURN_GRACE_MS } from './backend-table.js'
+import type { CallerRequest, Responder } from './caller-request.js'
+import { type Configuration, type Engine, RouteKind } from './configuration.js'
+import type { GatewayMetrics } from './gateway-metrics.js'
+import type { GatewaySettings } from './gateway-settings.js'
+import { InstanceTable, type InstanceStatus } from './instance-table.js'
+import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
+import { PendingRequest } from './pending-request.js'
+import { deskHandlers, PlacementClient } from './placement-client.js'
+import { MEMORY_FILL, PlacementDesk } from './placement-desk.js'
+import { forwardPlain } from './plain-forwarding.js'
+import { GatewayRefusal, refusalStatus } from './refusal.js'
+import { RepeatBudget } from './repeat-budget.js'
+import { chooseService, RouteTable } from './route-table.js'
+import { ServerHealth } from './server-health.js'
+import { type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
+import { forwardStream, type StreamForwarding } from './stream-forwarding.js'
+
+/** A new keeper waits this long for the instances' reports before it places anything, in milliseconds; they come each 300. */
+const LEARN_MS = 400
+
+/** Callers that meet an instance without a configuration or one that stops return after this time, in milliseconds. */
+const ELSEWHERE_MS = 50
+
+/** Known instances named in each heartbeat, so that the knowledge of new ones spreads without the store. */
+const NAMED_IN_HEARTBEAT = 4
+
+const MS_PER_SECOND = 1000
+
+interface GatewayOptions {
+  settings: GatewaySettings
+  calls: BackendPort
+  log: Log
+  metrics: GatewayMetrics
+  send: (ip: string, message: PeerDatagram) => void
+  nowMs: () => number
+  random: () => number
+}
+
+/** One entry instance: what it knows, and how each request goes. */
+export class Gateway {
+  readonly #options: GatewayOptions
+  readonly backends: BackendTable
+  readonly instances: InstanceTable
+  readonly #health: ServerHealth
+  readonly #desk: PlacementDesk
+  readonly #ownDesk: PlacementDesk
+  readonly #placing: PlacementClient
+  readonly #forwarding: StreamForwarding
+  readonly #pending = new Set<PendingRequest>()
+  readonly #kept = new Set<string>()
+  #configuration: Configuration | null = null
+  #routes: RouteTable | null = null
+  #storeRevision = 0
+  #reachesStore = false
+  #listed = false
+  #stopping = false
+  #refusing = false
+
+  constructor (options: GatewayOptions) {
+    this.#options = options
+    const { settings, nowMs, log } = options
+    this.backends = new BackendTable({ nowMs, onChange: (change) => this.#onBackend(change) })
+    this.instances = new InstanceTable({ ip: settings.ip, nowMs })
+    for (const ip of settings.seeds) this.instances.name(ip)
+    this.#health = new ServerHealth({ nowMs })
+    const engine = (service: string): Engine | null => this.#routes?.service(service)?.engine ?? null
+    this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine })
+    this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, fill: () => MEMORY_FILL / this.instances.servingCount() })
+    this.#placing = new PlacementClient({
+      ip: settings.ip,
+      failureDomain: settings.failureDomain,
+      instances: this.instances,
+      desk: this.#desk,
+      ownDesk: this.#ownDesk,
+      engine,
+      serves: () => !this.#stopping,
+      send: options.send,
+      log,
+      nowMs
+    })
+    this.#forwarding = {
+      backends: this.backends,
+      calls: options.calls,
+      health: this.#health,
+      repeats: new RepeatBudget({ nowMs, ratio: settings.repeats.ratio, slack: settings.repeats.slack, windowMs: settings.repeats.windowS * MS_PER_SECOND, instances: () => this.instances.servingCount() }),
+      failureDomain: settings.failureDomain,
+      log,
+      nowMs,
+      random: options.random,
+      placing: this.#placing
+    }
+  }
+
+  get ready (): boolean {
+    return this.#routes !== null && this.#listed && !this.#stopping
+  }
+
+  get stopping (): boolean {
+    return this.#stopping
+  }
+
+  get inFlight (): number {
+    return this.#pending.size
+  }
+
+  get configuration (): Configuration | null {
+    return this.#configuration
+  }
+
+  get storeRevision (): number {
+    return this.#storeRevision
+  }
+
+  /** The newest configuration wins; an older one is never put in force again. */
+  apply (configuration: Configuration, from: string): void {
+    const before = this.#configuration?.version ?? -Infinity
+    if (configuration.version <= before) return
+    this.#configuration = configuration
+    this.#routes = new RouteTable(configuration)
+    this.#options.metrics.configurationVersion.set(configuration.version)
+    this.#options.log.info('configuration.applied', { version: configuration.version, before: Number.isFinite(before) ? before : 'none', from, routes: configuration.routes.length })
+  }
+
+  takeListing (listing: StoreListing): void {
+    const backends: Backend[] = []
+    for (const change of listing.changes) {
+      if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
+      else this.takeChange(change, listing.revision)
+    }
+    this.#storeRevision = Math.max(this.#storeRevision, listing.revision)
+    this.#listed = true
+    this.backends.replaceAll(backends)
+  }
+
+  takeChange (change: StoreChange, revision: number): void {
+    this.#storeRevision = Math.max(this.#storeRevision, revision)
+    const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange) => void
+    handler(this, change)
+  }
+
+  logUnreadable (key: string, detail: string): void {
+    this.#options.log.warn('store.unreadable', { key, detail })
+  }
+
+  /** Takes what a peer that reaches the store knows. */
+  takePeerSnapshot (from: string, revision: number, configuration: Configuration | null, backends: Backend[]): void {
+    if (configuration !== null) this.apply(configuration, from)
+    if (revision <= this.#storeRevision) return
+    this.#storeRevision = revision
+    this.#listed = true
+    this.backends.replaceAll(backends)
+    this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length })
+  }
+
+  noteStoreContact (reached: boolean): void {
+    this.#reachesStore = reached
+    this.backends.markOutage()
+    if (reached) setTimeout(() => this.backends.expire(), RETURN_GRACE_MS + 1)
+  }
+
+  /** A live instance whose view of the store is newer than this one's, when the store can't be reached or something newer is in force there. */
+  newerPeer (): InstanceStatus | undefined {
+    const ownVersion = this.#configuration?.version ?? -Infinity
+    const newer = this.instances.live().filter((peer) => peer.configurationVersion > ownVersion ||
+      (!this.#reachesStore && peer.reachesStore && peer.storeRevision > this.#storeRevision))
+    return newer[Math.floor(this.#options.random() * newer.length)]
+  }
+
+  status (): InstanceStatus {
+    const { settings } = this.#options
+    return {
+      ip: settings.ip,
+      failureDomain: settings.failureDomain,
+      callers: settings.listeners.callers,
+      ready: this.ready,
+      configurationVersion: this.#configuration?.version ?? -1,
+      storeRevision: this.#storeRevision,
+      reachesStore: this.#reachesStore
+    }
+  }
+
+  heartbeat (): void {
+    const named = this.instances.named()
+    const start = Math.floor(this.#options.random() * named.length)
+    const known = Array.from({ length: Math.min(NAMED_IN_HEARTBEAT, named.length) }, (_, index) => named[(start + index) % named.length] ?? '')
+    const message: PeerDatagram = { kind: PeerDatagramKind.Heartbeat, status: this.status(), known }
+    for (const ip of named) this.#options.send(ip, message)
+  }
+
+  /** Work that is due a few times a second. */
+  tick (): void {
+    this.#noteKeeping()
+    this.#desk.tick()
+    this.#ownDesk.tick()
+  }
+
+  report (): void {
+    this.#placing.report()
+  }
+
+  takeDatagram (from: string, message: PeerDatagram): void {
+    if (message.kind === PeerDatagramKind.Heartbeat) {
+      this.instances.heard(message.status)
+      for (const ip of message.known) this.instances.name(ip)
+      return
+    }
+    if (message.kind === PeerDatagramKind.Place) return this.#placeFor(from, message)
+    const handler = deskHandlers[message.kind] as ((desk: PlacementDesk, message: PeerDatagram) => void) | undefined
+    if (handler === undefined) this.#placing.answered(message)
+    else handler(this.#desk, message)
+  }
+
+  /** Serves one attempt of a caller; every way ends in one answer, one refusal or the caller's leaving. */
+  serve (request: CallerRequest, responder: Responder): void {
+    const route = this.#routes?.select(request.host, request.path)
+    if (route === undefined) return this.#refuseUnrouted(request, responder)
+    if (this.#refusing) return this.#refuseAtOnce(request, responder, GatewayRefusal.Stopping, ELSEWHERE_MS)
+    const service = chooseService(route, this.#options.random())
+    if (service === undefined) return this.#refuseAtOnce(request, responder, GatewayRefusal.NoServer, ELSEWHERE_MS)
+    const pending = new PendingRequest({ request, route, service, responder, nowMs: this.#options.nowMs })
+    this.#pending.add(pending)
+    pending.onEnd = (ending) => {
+      this.#pending.delete(pending)
+      this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
+      this.#options.log.info('request.ended', { request: request.id, route: route.name, service, ending, ms: Math.round(pending.ageMs()), version: this.#routes?.version ?? -1 })
+    }
+    this.#forwarding.repeats.addRequest(service)
+    const work = request.work !== null && this.#routes?.service(service)?.engine != null
+    const forwarded = route.kind === RouteKind.Streaming && work ? forwardStream(this.#forwarding, pending) : forwardPlain(this.#forwarding, pending)
+    forwarded.catch((error: unknown) => {
+      this.#options.log.error('request.fault', { request: request.id, detail: error instanceof Error ? String(error.stack) : String(error) })
+      pending.refuse(pending.sentTo.size > 0 ? GatewayRefusal.OutcomeUnknown : GatewayRefusal.NoServer)
+    })
+  }
+
+  /** Stops taking part: not ready, out of the directory, no keeper. Requests are still served. */
+  stop (): void {
+    this.#stopping = true
+    this.heartbeat()
+  }
+
+  /** Refuses what still arrives: there is no time left to finish it. */
+  refuseNew (): void {
+    this.#refusing = true
+  }
+
+  dump (): unknown {
+    return {
+      status: this.status(),
+      listed: this.#listed,
+      stopping: this.#stopping,
+      inFlight: [...this.#pending].map(({ request, route }) => ({ id: request.id, route: route.name })),
+      backends: this.backends.all(),
+      instances: this.instances.live(),
+      desk: this.#desk.dump()
+    }
+  }
+
+  #placeFor (from: string, { request }: Extract<PeerDatagram, { kind: PeerDatagramKind.Place }>): void {
+    const { id } = request
+    const placed = this.#desk.placementOf(id)
+    if (placed !== null) return this.#options.send(from, { kind: PeerDatagramKind.Placed, id, ...placed })
+    const waits = this.#desk.isWaiting(id) || this.#desk.request(request, (decision) => {
+      this.#options.send(from, 'refusal' in decision
+        ? { kind: PeerDatagramKind.Refused, id, ...decision }
+        : { kind: PeerDatagramKind.Placed, id, ...decision })
+    })
+    if (waits) this.#options.send(from, { kind: PeerDatagramKind.Waiting, id })
+  }
+
+  /** Learns the runs of the fleet when this instance becomes the keeper of a service. */
+  #noteKeeping (): void {
+    for (const service of this.#configuration?.services ?? []) {
+      if (service.engine === null) continue
+      const keeps = this.instances.keeperOf(service.name, !this.#stopping) === this.#options.settings.ip
+      if (keeps === this.#kept.has(service.name)) continue
+      if (keeps) {
+        this.#kept.add(service.name)
+        this.#desk.learnFor(LEARN_MS)
+      } else {
+        this.#kept.delete(service.name)
+      }
+      this.#options.log.info('keeper.changed', { service: service.name, keeps, instances: this.instances.servingCount() })
+    }
+  }
+
+  #onBackend ({ kind, backend }: BackendChange): void {
+    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, revision: this.#storeRevision })
+    if (kind === 'removed' || kind === 'restarted') this.#desk.forgetRunner(backend)
+    const all = this.backends.all()
+    this.#health.retain(new Set(all.map(incarnationOf)))
+    this.#desk.retain(all)
+    this.#ownDesk.retain(all)
+  }
+
+  #refuseUnrouted (request: CallerRequest, responder: Responder): void {
+    if (this.#routes === null) return this.#refuseAtOnce(request, responder, GatewayRefusal.NoConfiguration, ELSEWHERE_MS)
+    this.#refuseAtOnce(request, responder, GatewayRefusal.UnknownRoute, null)
+  }
+
+  #refuseAtOnce (request: CallerRequest, responder: Responder, refusal: GatewayRefusal, retryAfterMs: number | null): void {
+    this.#options.log.info('request.refused', { request: request.id, host: request.host, path: request.path, refusal, status: refusalStatus[refusal], version: this.#routes?.version ?? -1 })
+    this.#options.metrics.countEnd('none', refusal, 0)
+    responder.refuse(refusal, retryAfterMs)
+  }
+}
+
+type ChangeHandlers = { [K in StoreChangeKind]: (gateway: Gateway, change: Extract<StoreChange, { kind: K }>) => void }
+
+const changeHandlers: ChangeHandlers = {
+  [StoreChangeKind.Configuration]: (gateway, { configuration }) => gateway.apply(configuration, 'store'),
+  [StoreChangeKind.Backend]: (gateway, { backend }) => gateway.backends.put(backend),
+  [StoreChangeKind.BackendRemoved]: (gateway, { id }) => gateway.backends.remove(id),
+  [StoreChangeKind.Instance]: (gateway, { ip }) => gateway.instances.name(ip),
+  // An instance is taken for gone only when it falls silent: its key may have been taken away while it serves.
+  [StoreChangeKind.InstanceRemoved]: () => {},
+  [StoreChangeKind.Unreadable]: (gateway, { key, detail }) => gateway.logUnreadable(key, detail)
+}
--- /dev/null
+++ b/src/gateway/peer-snapshot.ts
@@ -0,0 +1,29 @@
+import { decode, encode } from 'cbor-x'
+import { request } from 'undici'
+import type { Backend } from './backend.js'
+import type { Configuration } from './configuration.js'
+import type { Gateway } from './gateway.js'
+
+export const SNAPSHOT_PATH = '/snapshot'
+
+/** Longest wait for a peer's snapshot, in milliseconds; it is some tens of kilobytes from a neighbour. */
+const SNAPSHOT_TIMEOUT_MS = 700
+
+/** What one instance knows of the store, for a peer that can't reach it. */
+export interface PeerSnapshot {
+  revision: number
+  configuration: Configuration | null
+  backends: Backend[]
+}
+
+export function encodeSnapshot (gateway: Gateway): Buffer {
+  const snapshot: PeerSnapshot = { revision: gateway.storeRevision, configuration: gateway.configuration, backends: gateway.backends.all() }
+  return encode(snapshot)
+}
+
+export async function fetchSnapshot (ip: string, port: number): Promise<PeerSnapshot> {
+  const answer = await request(`http://${ip}:${port}${SNAPSHOT_PATH}`, { signal: AbortSignal.timeout(SNAPSHOT_TIMEOUT_MS) })
+  const bytes = Buffer.from(await answer.body.arrayBuffer())
+  if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode} of ${ip}`)
+  return decode(bytes) as PeerSnapshot
+}
--- /dev/null
+++ b/src/gateway/peer-socket.ts
@@ -0,0 +1,33 @@
+import { createSocket, type Socket } from 'node:dgram'
+import type { Log } from '../logs/log.js'
+import { decodeDatagram, encodeDatagram, type PeerDatagram } from './peer-datagram.js'
+
+interface PeerSocketOptions {
+  ip: string
+  port: number
+  log: Log
+  onDatagram: (from: string, message: PeerDatagram) => void
+}
+
+/** Datagrams between instances: none waits for another, and a dead instance holds up nobody. */
+export class PeerSocket {
+  readonly #socket: Socket
+  readonly #port: number
+
+  constructor (options: PeerSocketOptions) {
+    this.#port = options.port
+    this.#socket = createSocket('udp4')
+    this.#socket.on('error', (error) => options.log.warn('peers.socket-error', { detail: error.message }))
+    this.#socket.on('message', (bytes, { address }) => {
+      const message = decodeDatagram(bytes)
+      if (message === null) options.log.debug('peers.unreadable', { from: address, bytes: bytes.length })
+      else options.onDatagram(address, message)
+    })
+    this.#socket.bind(options.port, options.ip)
+  }
+
+  send (ip: string, message: PeerDatagram): void {
+    // Datagrams may be lost anyway: senders repeat what matters, so a failed send needs no handling of its own.
+    this.#socket.send(encodeDatagram(message), this.#port, ip, () => {})
+  }
+}
--- /dev/null
+++ b/src/gateway/placement-client.ts
@@ -0,0 +1,229 @@
+import type { Log } from '../logs/log.js'
+import type { Engine } from './configuration.js'
+import type { InstanceTable } from './instance-table.js'
+import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
+import type { PendingRequest } from './pending-request.js'
+import type { Placing } from './placing.js'
+import { type Placement, type PlacementDesk, type PlacementRequest, PlacementRefusal, type RefusedPlacement, type RunReport } from './placement-desk.js'
+
+/** Wait for any sign from the keeper before it is asked again, in milliseconds; an answer takes a few. */
+const ASK_AGAIN_MS = 70
+
+/** Unanswered questions after which the keeper is taken for dead. */
+const MAX_UNANSWERED = 3
+
+/** Keepers asked in turn before this instance decides alone. */
+const MAX_KEEPERS = 2
+
+/** Time between questions about a request that waits at the keeper, in milliseconds. */
+const ASK_WAITING_MS = 300
+
+/** Time between reports of the runs of this instance, in milliseconds. */
+export const REPORT_PERIOD_MS = 300
+
+/** Runs in one report, so that it fits a datagram. */
+const RUNS_IN_REPORT = 8
+
+/** Time needed from a place to the first event, in milliseconds; a wait that leaves less makes the stream late. */
+const START_TIME_MS = 250
+
+/** Longest wait of a request that is late already, in milliseconds: callers give up on a silent stream after two seconds or more. */
+const LATE_PATIENCE_MS = 1500
+
+type Decision = Placement | RefusedPlacement
+
+interface OwnRun extends RunReport {
+  tokensPerEvent: number
+  keeper: string
+}
+
+interface Asking {
+  heard: () => void
+  decide: (decision: Decision) => void
+}
+
+interface PlacementClientOptions {
+  ip: string
+  failureDomain: string
+  instances: InstanceTable
+  /** Decides for all instances where this one is the keeper. */
+  desk: PlacementDesk
+  /** Decides for this instance alone when no keeper answers. */
+  ownDesk: PlacementDesk
+  engine: (service: string) => Engine | null
+  serves: () => boolean
+  send: (ip: string, message: PeerDatagram) => void
+  log: Log
+  nowMs: () => number
+}
+
+/** Asks the instance that keeps a service's runners for places, and reports to it. */
+export class PlacementClient implements Placing {
+  readonly #options: PlacementClientOptions
+  readonly #asking = new Map<string, Asking>()
+  readonly #runs = new Map<string, OwnRun>()
+
+  constructor (options: PlacementClientOptions) {
+    this.#options = options
+  }
+
+  async place (pending: PendingRequest, excluded: string[]): Promise<Decision> {
+    for (const server of excluded) this.failed(pending.service, server)
+    this.#release(pending.request.id)
+    const request = this.#requestOf(pending)
+    for (let asked = 0; asked < MAX_KEEPERS && !pending.ended; asked += 1) {
+      const keeper = this.#keeperOf(request.service)
+      const decision = keeper === this.#options.ip
+        ? await this.#askDesk(this.#options.desk, request, pending)
+        : await this.#askKeeper(keeper, request, pending)
+      if (decision !== null) return this.#taken(pending, request, keeper, decision)
+      this.#options.instances.suspect(keeper)
+      this.#options.log.warn('keeper.silent', { keeper, request: request.id, service: request.service })
+    }
+    const decision = await this.#askDesk(this.#options.ownDesk, request, pending)
+    return this.#taken(pending, request, this.#options.ip, decision)
+  }
+
+  prefilled (id: string, tokensPerMs: number | null): void {
+    const run = this.#runs.get(id)
+    if (run === undefined) return
+    this.#options.ownDesk.prefilled(id, tokensPerMs)
+    this.#tell(run.keeper, { kind: PeerDatagramKind.Prefilled, id, tokensPerMs })
+  }
+
+  progress (id: string, _eventId: string | null): void {
+    const run = this.#runs.get(id)
+    if (run !== undefined) run.madeTokens += run.tokensPerEvent
+  }
+
+  failed (service: string, server: string): void {
+    this.#options.ownDesk.failed(server)
+    this.#tell(this.#keeperOf(service), { kind: PeerDatagramKind.Failed, server })
+  }
+
+  /** Reports the runs of this instance to their keepers. */
+  report (): void {
+    const byKeeper = new Map<string, RunReport[]>()
+    for (const { tokensPerEvent: _tokens, keeper: _keeper, ...report } of this.#runs.values()) {
+      const keeper = this.#keeperOf(report.service)
+      byKeeper.set(keeper, [...byKeeper.get(keeper) ?? [], report])
+    }
+    for (const [keeper, runs] of byKeeper) {
+      this.#options.ownDesk.report(runs)
+      for (let at = 0; at < runs.length; at += RUNS_IN_REPORT) {
+        this.#tell(keeper, { kind: PeerDatagramKind.Report, runs: runs.slice(at, at + RUNS_IN_REPORT) })
+      }
+    }
+  }
+
+  /** Takes an answer of a keeper. */
+  answered (message: PeerDatagram): void {
+    if (message.kind === PeerDatagramKind.Waiting) this.#asking.get(message.id)?.heard()
+    if (message.kind === PeerDatagramKind.Placed) this.#asking.get(message.id)?.decide({ prefill: message.prefill, decode: message.decode })
+    if (message.kind === PeerDatagramKind.Refused) {
+      this.#asking.get(message.id)?.decide({ refusal: message.refusal as PlacementRefusal, retryAfterMs: message.retryAfterMs })
+    }
+  }
+
+  #requestOf (pending: PendingRequest): PlacementRequest {
+    const { request, route, service } = pending
+    const work = request.work
+    const objectiveLeftMs = route.targetLatencyMs - pending.ageMs() - lateness(pending)
+    const onTimeMs = objectiveLeftMs - START_TIME_MS
+    return {
+      id: request.id,
+      service,
+      failureDomain: this.#options.failureDomain,
+      promptTokens: work?.promptTokens ?? 0,
+      output: { estimateTokens: work?.estimatedOutputTokens ?? null, maxTokens: work?.maxOutputTokens ?? 0 },
+      objectiveLeftMs,
+      patienceMs: Math.min(onTimeMs > 0 ? onTimeMs : LATE_PATIENCE_MS, pending.leftMs())
+    }
+  }
+
+  #askDesk (desk: PlacementDesk, request: PlacementRequest, pending: PendingRequest): Promise<Decision> {
+    return new Promise((resolve) => {
+      desk.request(request, resolve)
+      pending.onStop(() => {
+        desk.release(request.id)
+        resolve({ refusal: PlacementRefusal.Overloaded, retryAfterMs: 0 })
+      })
+    })
+  }
+
+  /** Null when the keeper shows no sign of life. */
+  #askKeeper (keeper: string, request: PlacementRequest, pending: PendingRequest): Promise<Decision | null> {
+    return new Promise((resolve) => {
+      let unanswered = 0
+      let timer: NodeJS.Timeout | undefined
+      const settle = (decision: Decision | null): void => {
+        clearTimeout(timer)
+        this.#asking.delete(request.id)
+        resolve(decision)
+      }
+      const ask = (): void => {
+        if (unanswered >= MAX_UNANSWERED) return settle(null)
+        unanswered += 1
+        this.#options.send(keeper, { kind: PeerDatagramKind.Place, request })
+        timer = setTimeout(ask, ASK_AGAIN_MS)
+      }
+      this.#asking.set(request.id, {
+        decide: settle,
+        heard: () => {
+          unanswered = 0
+          clearTimeout(timer)
+          timer = setTimeout(ask, ASK_WAITING_MS)
+        }
+      })
+      pending.onStop(() => {
+        if (!this.#asking.has(request.id)) return
+        this.#options.send(keeper, { kind: PeerDatagramKind.Release, id: request.id })
+        settle({ refusal: PlacementRefusal.Overloaded, retryAfterMs: 0 })
+      })
+      ask()
+    })
+  }
+
+  #taken (pending: PendingRequest, request: PlacementRequest, keeper: string, decision: Decision): Decision {
+    if ('refusal' in decision) return decision
+    const { id, service, promptTokens, output } = request
+    const tokensPerEvent = this.#options.engine(service)?.tokensPerEvent ?? 1
+    this.#runs.set(id, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, keeper })
+    pending.onStop(() => this.#release(id))
+    return decision
+  }
+
+  #release (id: string): void {
+    const run = this.#runs.get(id)
+    if (run === undefined) return
+    this.#runs.delete(id)
+    this.#options.ownDesk.release(id)
+    this.#tell(run.keeper, { kind: PeerDatagramKind.Release, id })
+    const keeper = this.#keeperOf(run.service)
+    if (keeper !== run.keeper) this.#tell(keeper, { kind: PeerDatagramKind.Release, id })
+  }
+
+  #keeperOf (service: string): string {
+    return this.#options.instances.keeperOf(service, this.#options.serves())
+  }
+
+  #tell (keeper: string, message: PeerDatagram): void {
+    if (keeper !== this.#options.ip) return this.#options.send(keeper, message)
+    deskHandlers[message.kind]?.(this.#options.desk, message as never)
+  }
+}
+
+/** How long ago the caller's first attempt was, from the time that a returning caller has left. */
+function lateness ({ request, route }: PendingRequest): number {
+  return request.deadlineMs === null ? 0 : Math.max(0, route.timeoutMs - request.deadlineMs)
+}
+
+type DeskHandlers = { [K in PeerDatagramKind]?: (desk: PlacementDesk, message: Extract<PeerDatagram, { kind: K }>) => void }
+
+/** What the keeper's desk does with each message that needs no answer. */
+export const deskHandlers: DeskHandlers = {
+  [PeerDatagramKind.Release]: (desk, { id }) => desk.release(id),
+  [PeerDatagramKind.Prefilled]: (desk, { id, tokensPerMs }) => desk.prefilled(id, tokensPerMs),
+  [PeerDatagramKind.Report]: (desk, { runs }) => desk.report(runs),
+  [PeerDatagramKind.Failed]: (desk, { server }) => desk.failed(server)
+}
--- /dev/null
+++ b/src/gateway/placement-desk.ts
@@ -0,0 +1,329 @@
+import { type Backend, incarnationOf, Stage } from './backend.js'
+import type { BackendTable } from './backend-table.js'
+import type { Engine } from './configuration.js'
+import { type RunMemory, peakMemory } from './memory-forecast.js'
+import { expectedRemaining, type OutputLength } from './output-length.js'
+
+/** Share of a decode runner's memory that forecasts may fill; the rest absorbs runs longer than expected. */
+export const MEMORY_FILL = 0.88
+
+/** Prompt tokens that may wait at one prefill runner, in milliseconds of its work: enough to keep it busy, few enough to keep the order here. */
+const PREFILL_BACKLOG_MS = 200
+
+/** Prompt tokens a prefill runner reads in a millisecond until answers have shown it. */
+const INITIAL_PREFILL_RATE = 45
+
+/** Weight of one more measured rate in the average. */
+const RATE_WEIGHT = 0.2
+
+/** Runs of an instance that has not reported for this long are taken to be gone, in milliseconds; reports come several times in it. */
+const REPORT_LIFETIME_MS = 2500
+
+/** Time between the placement and the first event besides prefill, in milliseconds. */
+const FIRST_EVENT_MS = 150
+
+/** A runner that failed a request is passed over for this long, in milliseconds. */
+const FAILED_RUNNER_REST_MS = 1500
+
+/** A model request that wants a place on a prefill and a decode runner. */
+export interface PlacementRequest {
+  id: string
+  service: string
+  failureDomain: string
+  promptTokens: number
+  output: OutputLength
+  /** Time left until the first event is late; negative for a request that is late already. */
+  objectiveLeftMs: number
+  /** How long the request may wait here before it is refused. */
+  patienceMs: number
+}
+
+export interface Placement {
+  /** Id of the prefill runner; null if the decode runner has to read the prompt itself. */
+  prefill: string | null
+  decode: string
+}
+
+export enum PlacementRefusal {
+  /** No decode runner is known. */
+  NoRunner = 'no-runner',
+  /** Larger than the memory of every runner. */
+  TooLarge = 'too-large',
+  /** No memory came free in time. */
+  Overloaded = 'overloaded'
+}
+
+export interface RefusedPlacement {
+  refusal: PlacementRefusal
+  /** When memory is expected to be free, in milliseconds. */
+  retryAfterMs: number
+}
+
+/** Called once with the decision on a request. */
+export type Decide = (decision: Placement | RefusedPlacement) => void
+
+/** How far a run has come, as reported by the instance that serves it. */
+export interface RunReport {
+  id: string
+  service: string
+  decode: string
+  promptTokens: number
+  output: OutputLength
+  madeTokens: number
+}
+
+interface Run {
+  service: string
+  decode: string
+  prefill: string | null
+  promptTokens: number
+  output: OutputLength
+  madeTokens: number
+  reportedMs: number
+}
+
+interface Waiting {
+  request: PlacementRequest
+  decide: Decide
+  arrivedMs: number
+  objectiveMs: number
+  expiresMs: number
+}
+
+interface PlacementDeskOptions {
+  nowMs: () => number
+  backends: BackendTable
+  engine: (service: string) => Engine | null
+  /** Share of each decode runner's memory that this desk may fill. */
+  fill?: () => number
+}
+
+/**
+ * Decides which runners serve each model request of a service.
+ * It keeps a forecast of each decode runner's memory and starts a prefill only when a decode runner has room for the whole run.
+ */
+export class PlacementDesk {
+  readonly #options: PlacementDeskOptions
+  readonly #runs = new Map<string, Run>()
+  readonly #waiting = new Map<string, Waiting>()
+  readonly #prefillRates = new Map<string, number>()
+  readonly #restUntilMs = new Map<string, number>()
+  #learnsUntilMs = -Infinity
+
+  constructor (options: PlacementDeskOptions) {
+    this.#options = options
+  }
+
+  get waitingCount (): number {
+    return this.#waiting.size
+  }
+
+  get runCount (): number {
+    return this.#runs.size
+  }
+
+  /** Places nothing for a while, until the instances have reported the runs that a desk before this one placed. */
+  learnFor (periodMs: number): void {
+    this.#learnsUntilMs = this.#options.nowMs() + periodMs
+  }
+
+  /** Asks for a place; the decision comes at once or when memory is free. Returns whether the request waits. */
+  request (request: PlacementRequest, decide: Decide): boolean {
+    const nowMs = this.#options.nowMs()
+    const impossible = this.#impossible(request)
+    if (impossible !== null) {
+      decide(impossible)
+      return false
+    }
+    this.#waiting.set(request.id, { request, decide, arrivedMs: nowMs, objectiveMs: nowMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs })
+    this.placeWaiting()
+    return this.#waiting.has(request.id)
+  }
+
+  /** The place that a request has been given; null if it has none. */
+  placementOf (id: string): Placement | null {
+    const run = this.#runs.get(id)
+    return run === undefined ? null : { prefill: run.prefill, decode: run.decode }
+  }
+
+  isWaiting (id: string): boolean {
+    return this.#waiting.has(id)
+  }
+
+  /** Ends a request or a run, whatever its state. */
+  release (id: string): void {
+    this.#waiting.delete(id)
+    if (this.#runs.delete(id)) this.placeWaiting()
+  }
+
+  /** The prompt of a run has been read; frees the prefill runner for the next one. */
+  prefilled (id: string, tokensPerMs: number | null): void {
+    const run = this.#runs.get(id)
+    if (run === undefined || run.prefill === null) return
+    if (tokensPerMs !== null) {
+      const rate = this.#prefillRate(run.prefill)
+      this.#prefillRates.set(run.prefill, rate + (tokensPerMs - rate) * RATE_WEIGHT)
+    }
+    run.prefill = null
+    this.placeWaiting()
+  }
+
+  /** Passes over a runner for a while that has just failed a request. */
+  failed (server: string): void {
+    this.#restUntilMs.set(server, this.#options.nowMs() + FAILED_RUNNER_REST_MS)
+  }
+
+  /** Takes the progress of runs; runs that this desk has not placed itself are learnt. */
+  report (reports: RunReport[]): void {
+    const reportedMs = this.#options.nowMs()
+    for (const { id, ...report } of reports) {
+      const run = this.#runs.get(id)
+      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, reportedMs })
+      else Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
+    }
+  }
+
+  /** Drops runs that nobody reports any more and refuses requests whose patience has ended. */
+  tick (): void {
+    const nowMs = this.#options.nowMs()
+    for (const [id, run] of this.#runs) if (nowMs - run.reportedMs > REPORT_LIFETIME_MS) this.#runs.delete(id)
+    this.placeWaiting()
+    for (const [id, { request, decide, expiresMs }] of this.#waiting) {
+      const impossible = this.#impossible(request)
+      if (impossible === null && nowMs < expiresMs) continue
+      this.#waiting.delete(id)
+      decide(impossible ?? { refusal: PlacementRefusal.Overloaded, retryAfterMs: this.#expectedWaitMs() })
+    }
+  }
+
+  /** Places waiting requests: those that can still be on time first, the earliest objective before later ones. */
+  placeWaiting (): void {
+    const nowMs = this.#options.nowMs()
+    if (nowMs < this.#learnsUntilMs) return
+    const order = [...this.#waiting.values()].sort((a, b) => precedence(a, nowMs) - precedence(b, nowMs))
+    const full = new Set<string>()
+    for (const { request, decide } of order) {
+      const placement = full.has(request.service) ? null : this.#place(request)
+      if (placement === null) {
+        // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
+        full.add(request.service)
+        continue
+      }
+      this.#waiting.delete(request.id)
+      this.#runs.set(request.id, {
+        service: request.service,
+        decode: placement.decode,
+        prefill: placement.prefill,
+        promptTokens: request.promptTokens,
+        output: request.output,
+        madeTokens: 0,
+        reportedMs: nowMs
+      })
+      decide(placement)
+    }
+  }
+
+  #place (request: PlacementRequest): Placement | null {
+    const decode = this.#chooseDecode(request)
+    if (decode === null) return null
+    const prefills = this.#usable(request.service, Stage.Prefill)
+    if (prefills.length === 0) return { prefill: null, decode: decode.id }
+    const prefill = this.#choosePrefill(prefills, decode)
+    return prefill === null ? null : { prefill: prefill.id, decode: decode.id }
+  }
+
+  #chooseDecode (request: PlacementRequest): Backend | null {
+    const engine = this.#options.engine(request.service)
+    if (engine === null) return null
+    const added: RunMemory = { heldTokens: request.promptTokens, remainingTokens: expectedRemaining(request.output, 0) }
+    let best: Backend | null = null
+    let lowest = engine.memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL)
+    for (const backend of this.#usable(request.service, Stage.Decode)) {
+      const runs = this.#runsOn(backend.id)
+      // A run larger than the usual share may have an empty runner for itself.
+      const peak = runs.length === 0 ? 0 : peakMemory([...runs, added])
+      if (runs.length >= engine.slots || peak > lowest) continue
+      lowest = peak
+      best = backend
+    }
+    return best
+  }
+
+  #choosePrefill (prefills: Backend[], decode: Backend): Backend | null {
+    const ranked = prefills
+      .map((backend) => ({ backend, backlogMs: this.#prefillBacklogMs(backend.id), far: backend.failureDomain === decode.failureDomain ? 0 : 1 }))
+      .sort((a, b) => a.backlogMs - b.backlogMs || a.far - b.far)
+    const first = ranked[0]
+    return first === undefined || first.backlogMs > PREFILL_BACKLOG_MS ? null : first.backend
+  }
+
+  #prefillBacklogMs (id: string): number {
+    let tokens = 0
+    for (const run of this.#runs.values()) if (run.prefill === id) tokens += run.promptTokens
+    return tokens / this.#prefillRate(id)
+  }
+
+  #prefillRate (id: string): number {
+    return this.#prefillRates.get(id) ?? INITIAL_PREFILL_RATE
+  }
+
+  #runsOn (decode: string): RunMemory[] {
+    const runs: RunMemory[] = []
+    for (const run of this.#runs.values()) {
+      if (run.decode !== decode) continue
+      runs.push({ heldTokens: run.promptTokens + run.madeTokens, remainingTokens: expectedRemaining(run.output, run.madeTokens) })
+    }
+    return runs
+  }
+
+  #usable (service: string, stage: Stage): Backend[] {
+    const nowMs = this.#options.nowMs()
+    const ready = this.#options.backends.ready(service, stage)
+    const rested = ready.filter(({ id }) => (this.#restUntilMs.get(id) ?? 0) <= nowMs)
+    return rested.length > 0 ? rested : ready
+  }
+
+  #impossible (request: PlacementRequest): RefusedPlacement | null {
+    const engine = this.#options.engine(request.service)
+    if (engine === null || this.#options.backends.ready(request.service, Stage.Decode).length === 0) {
+      return { refusal: PlacementRefusal.NoRunner, retryAfterMs: FAILED_RUNNER_REST_MS }
+    }
+    if (request.promptTokens >= engine.memoryTokens) return { refusal: PlacementRefusal.TooLarge, retryAfterMs: FAILED_RUNNER_REST_MS }
+    return null
+  }
+
+  #expectedWaitMs (): number {
+    return FAILED_RUNNER_REST_MS
+  }
+
+  /** Forgets what is known of runners that are gone. */
+  retain (backends: Backend[]): void {
+    const ids = new Set(backends.map(({ id }) => id))
+    for (const table of [this.#prefillRates, this.#restUntilMs]) {
+      for (const id of table.keys()) if (!ids.has(id)) table.delete(id)
+    }
+  }
+
+  /** A life of a runner has ended: its runs are gone. */
+  forgetRunner (backend: Backend): void {
+    for (const [id, run] of this.#runs) {
+      if (run.decode === backend.id) this.#runs.delete(id)
+      else if (run.prefill === backend.id) run.prefill = null
+    }
+    this.placeWaiting()
+  }
+
+  dump (): unknown {
+    return {
+      waiting: [...this.#waiting.values()].map(({ request, arrivedMs }) => ({ id: request.id, arrivedMs })),
+      runs: Object.fromEntries(this.#runs),
+      backends: this.#options.backends.all().map(incarnationOf)
+    }
+  }
+}
+
+/** Requests that can still be on time go by their objective, late ones after them by their arrival. */
+function precedence ({ objectiveMs, arrivedMs }: Waiting, nowMs: number): number {
+  const canBeOnTime = objectiveMs - nowMs > FIRST_EVENT_MS
+  return canBeOnTime ? objectiveMs : Number.MAX_SAFE_INTEGER / 2 + arrivedMs
+}
--- /dev/null
+++ b/src/gateway/platform-store.ts
@@ -0,0 +1,53 @@
+import type { Backend } from './backend.js'
+import type { Configuration } from './configuration.js'
+
+export enum StoreChangeKind {
+  Configuration = 'configuration',
+  Backend = 'backend',
+  BackendRemoved = 'backend-removed',
+  Instance = 'instance',
+  InstanceRemoved = 'instance-removed',
+  /** An entry that can't be read; it names nothing to use. */
+  Unreadable = 'unreadable'
+}
+
+/** One entry of the platform's store that concerns the gateway. */
+export type StoreChange =
+  | { kind: StoreChangeKind.Configuration, configuration: Configuration }
+  | { kind: StoreChangeKind.Backend, backend: Backend }
+  | { kind: StoreChangeKind.BackendRemoved, id: string }
+  | { kind: StoreChangeKind.Instance, ip: string }
+  | { kind: StoreChangeKind.InstanceRemoved, ip: string }
+  | { kind: StoreChangeKind.Unreadable, key: string, detail: string }
+
+export interface StoreListing {
+  revision: number
+  changes: StoreChange[]
+}
+
+export enum StoreFaultKind {
+  /** The store gave no answer, or turned the call away. */
+  Unreachable = 'unreachable',
+  /** The changes since the revision asked for are no longer kept. */
+  HistoryLost = 'history-lost'
+}
+
+export interface StoreFault {
+  kind: StoreFaultKind
+  detail: string
+}
+
+/** The platform's store as the gateway uses it. */
+export interface PlatformStore {
+  /** All entries as of one revision. */
+  list: () => Promise<StoreListing | StoreFault>
+  /** The changes after a revision; waits for some up to the given time. */
+  watch: (afterRevision: number, waitMs: number) => Promise<StoreListing | StoreFault>
+  /** Makes this instance known to new ones. */
+  announce: (ip: string) => Promise<StoreFault | null>
+  withdraw: (ip: string) => Promise<StoreFault | null>
+}
+
+export function isStoreFault (result: StoreListing | StoreFault): result is StoreFault {
+  return 'kind' in result
+}
--- /dev/null
+++ b/src/gateway/run-gateway.ts
@@ -0,0 +1,131 @@
+import type { Server } from 'node:http'
+import type { Log } from '../logs/log.js'
+import type { CallerLimits } from './configuration.js'
+import type { Gateway } from './gateway.js'
+import type { GatewayMetrics } from './gateway-metrics.js'
+import type { GatewaySettings } from './gateway-settings.js'
+import type { HttpExchanges } from './http-exchange.js'
+import { createMetricsListener, createPeerListener } from './peer-listener.js'
+import type { PeerDatagram } from './peer-datagram.js'
+import { fetchSnapshot } from './peer-snapshot.js'
+import { PeerSocket } from './peer-socket.js'
+import { REPORT_PERIOD_MS } from './placement-client.js'
+import type { PlatformStore } from './platform-store.js'
+import { StoreFollower } from './store-follower.js'
+
+/** Time between heartbeats to every other instance, in milliseconds: a quarter of the time after which one counts as dead. */
+const HEARTBEAT_MS = 500
+
+/** Time between looks at what is due, in milliseconds; it bounds how much longer than its patience a request waits. */
+const TICK_MS = 50
+
+/** Time between looks for a peer with newer knowledge, in milliseconds. */
+const CATCH_UP_MS = 300
+
+/** Requests sent this long after SIGTERM are still taken, in milliseconds: callers learn of the stop from the directory meanwhile. */
+const ACCEPT_AFTER_STOP_MS = 2700
+
+/** The process ends this long before it would be killed, in milliseconds. */
+const EXIT_MARGIN_MS = 400
+
+/** Time for an announced withdrawal and the last bytes of answers before the process ends, in milliseconds. */
+const LAST_BYTES_MS = 50
+
+const MS_PER_SECOND = 1000
+
+interface RunOptions {
+  gateway: Gateway
+  settings: GatewaySettings
+  store: PlatformStore
+  exchanges: HttpExchanges
+  callers: Server
+  applyLimits: (limits: CallerLimits) => void
+  readiness: Server
+  directory: Server
+  metrics: GatewayMetrics
+  log: Log
+  flushLog: () => void
+  random: () => number
+}
+
+/** Starts the listeners and loops of one instance and ends it on SIGTERM. */
+export function runGateway (options: RunOptions): { send: (ip: string, message: PeerDatagram) => void } {
+  const { gateway, settings, log } = options
+  const { listeners } = settings
+  const peers = new PeerSocket({ ip: settings.ip, port: listeners.peerPort, log, onDatagram: (from, message) => gateway.takeDatagram(from, message) })
+  const follower = new StoreFollower({
+    store: options.store,
+    ip: settings.ip,
+    log,
+    random: options.random,
+    onListing: (listing) => gateway.takeListing(listing),
+    onChange: (change, revision) => gateway.takeChange(change, revision),
+    onContact: (reached) => gateway.noteStoreContact(reached)
+  })
+  listen(options.callers, listeners.callers)
+  listen(options.readiness, listeners.readiness)
+  listen(options.directory, listeners.directory)
+  listen(createPeerListener(gateway), `${settings.ip}:${listeners.peerPort}`)
+  listen(createMetricsListener(gateway, options.metrics), `${settings.ip}:${listeners.metricsPort}`)
+  startLoops(options)
+  void follower.run()
+  log.info('instance.started', { failureDomain: settings.failureDomain, callers: listeners.callers, seeds: settings.seeds.length })
+  process.on('SIGTERM', () => { void stop(options, follower) })
+  process.on('SIGHUP', () => log.info('settings.changed', { detail: 'settings take effect at the next start' }))
+  return { send: (ip, message) => peers.send(ip, message) }
+}
+
+function listen (server: Server, address: string): void {
+  const [host, port] = address.split(':')
+  server.listen({ host, port: Number(port), backlog: 1024 })
+}
+
+function startLoops (options: RunOptions): void {
+  const { gateway } = options
+  setInterval(() => gateway.heartbeat(), HEARTBEAT_MS)
+  setInterval(() => gateway.report(), REPORT_PERIOD_MS)
+  let limits: CallerLimits | null = null
+  setInterval(() => {
+    gateway.tick()
+    const current = gateway.configuration?.limits ?? null
+    if (current !== null && current !== limits) options.applyLimits(current)
+    limits = current
+  }, TICK_MS)
+  let fetching = false
+  setInterval(() => {
+    options.exchanges.retain(new Set(gateway.backends.all().map(({ address }) => address)))
+    const peer = gateway.newerPeer()
+    if (peer === undefined || fetching) return
+    fetching = true
+    fetchSnapshot(peer.ip, options.settings.listeners.peerPort)
+      .then(({ revision, configuration, backends }) => gateway.takePeerSnapshot(peer.ip, revision, configuration, backends))
+      .catch((error: unknown) => options.log.warn('snapshot.failed', { from: peer.ip, detail: String(error) }))
+      .finally(() => { fetching = false })
+  }, CATCH_UP_MS)
+}
+
+/** Serves what has been taken, sends callers elsewhere and ends the process within its grace. */
+async function stop (options: RunOptions, follower: StoreFollower): Promise<void> {
+  const { gateway, settings, log } = options
+  if (gateway.stopping) return
+  log.info('instance.stopping', { inFlight: gateway.inFlight })
+  gateway.stop()
+  follower.stop()
+  void options.store.withdraw(settings.ip).then((fault) => {
+    if (fault !== null) log.warn('withdraw.failed', { detail: fault.detail })
+  })
+  const startedMs = performance.now()
+  await delay(ACCEPT_AFTER_STOP_MS)
+  gateway.refuseNew()
+  options.callers.close()
+  const exitMs = startedMs + settings.graceS * MS_PER_SECOND - EXIT_MARGIN_MS
+  while (gateway.inFlight > 0 && performance.now() < exitMs) await delay(LAST_BYTES_MS)
+  await delay(LAST_BYTES_MS)
+  log.info('instance.stopped', { inFlight: gateway.inFlight })
+  options.flushLog()
+  process.exit(0)
+}
+
+function delay (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
