--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -108,8 +108,7 @@
   override reuseSocket (socket: Socket, request: ClientRequest): void {
     socket.removeListener('data', closeOnData)
     socket.setTimeout(0)
-    request.reusedSocket = true
-    socket.ref()
+    super.reuseSocket(socket, request)
   }
 }
 
