--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -37,6 +37,8 @@
   /** Names and values in turn, as received. */
   rawHeaders: string[]
   message: IncomingMessage
+  /** Whether the answer has arrived whole; to be asked at the end of the message. */
+  isComplete: () => boolean
 }
 
 export interface ExchangeFailure {
@@ -125,6 +127,7 @@
 function headOf (request: ClientRequest, timeoutMs: number): Promise<ExchangeHead | ExchangeFailure> {
   return new Promise((resolve) => {
     let connected = false
+    let reset = false
     let timer = setTimeout(giveUp, Math.min(CONNECT_TIMEOUT_MS, timeoutMs))
     function giveUp (): void {
       settle({ outcome: connected ? ExchangeOutcome.TimedOut : ExchangeOutcome.NotSent, detail: connected ? 'no answer in time' : 'no connection in time' })
@@ -139,7 +142,13 @@
       clearTimeout(timer)
       timer = setTimeout(giveUp, timeoutMs)
     }
+    function markReset (): void {
+      reset = true
+    }
     request.on('socket', (socket) => {
+      // Node takes an answer without a length as complete also when its connection is reset.
+      socket.on('error', markReset)
+      request.on('close', () => socket.removeListener('error', markReset))
       if (socket.connecting) socket.once('connect', markConnected)
       else markConnected()
     })
@@ -148,7 +157,8 @@
       statusText: message.statusMessage ?? '',
       headers: message.headers,
       rawHeaders: message.rawHeaders,
-      message
+      message,
+      isComplete: () => message.complete && !reset
     }))
     request.on('error', (error) => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: error.message }))
     request.on('close', () => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: 'connection closed' }))
@@ -156,7 +166,7 @@
 }
 
 /** Reads a whole answer; null if it breaks off or exceeds the limit. */
-export function readWhole (message: IncomingMessage, limitBytes: number): Promise<Buffer | null> {
+export function readWhole ({ message, isComplete }: ExchangeHead, limitBytes: number): Promise<Buffer | null> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = []
     let size = 0
@@ -165,7 +175,7 @@
       if (size > limitBytes) message.destroy()
       else chunks.push(chunk)
     })
-    message.on('end', () => resolve(message.complete ? Buffer.concat(chunks) : null))
+    message.on('end', () => resolve(isComplete() ? Buffer.concat(chunks) : null))
     message.on('error', () => resolve(null))
     message.on('close', () => resolve(null))
   })
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -55,7 +55,7 @@
     ownConnection: false
   })
   if (reply.outcome !== ExchangeOutcome.Answered || pending.ended) return reply
-  const body = await readWhole(reply.head.message, MAX_ANSWER_BYTES)
+  const body = await readWhole(reply.head, MAX_ANSWER_BYTES)
   if (pending.ended) return reply
   if (body === null) {
     forwarding.health.failed(backend)
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -124,7 +124,7 @@
       ownConnection: true,
       prefillOnly: true
     })
-    const body = reply.outcome === ExchangeOutcome.Answered ? await readWhole(reply.head.message, MAX_HANDLE_BYTES) : null
+    const body = reply.outcome === ExchangeOutcome.Answered ? await readWhole(reply.head, MAX_HANDLE_BYTES) : null
     const handle = body === null ? null : calls.promptHandle(prefill, body)
     if (handle !== null) {
       const tokens = pending.request.work?.promptTokens ?? 0
@@ -161,7 +161,7 @@
       pending.responder.head(head)
     }
     if (head.status >= 300) {
-      const body = await readWhole(head.message, MAX_HANDLE_BYTES)
+      const body = await readWhole(head, MAX_HANDLE_BYTES)
       if (body === null) pending.abort('the answer broke off')
       else {
         pending.responder.write(body)
@@ -181,7 +181,7 @@
     return ExchangeOutcome.Broken
   }
 
-  #copyEvents ({ message }: ExchangeHead): Promise<RelayEnd> {
+  #copyEvents ({ message, isComplete }: ExchangeHead): Promise<RelayEnd> {
     const { placing } = this.#forwarding
     const pending = this.#pending
     const { responder, route } = pending
@@ -209,8 +209,8 @@
       })
       message.on('end', () => {
         const rest = this.#events.pending
-        if (message.complete && route.resumable && rest.length > 0 && !pending.ended) responder.write(rest)
-        settle(message.complete ? RelayEnd.Complete : RelayEnd.Broken)
+        if (isComplete() && route.resumable && rest.length > 0 && !pending.ended) responder.write(rest)
+        settle(isComplete() ? RelayEnd.Complete : RelayEnd.Broken)
       })
       message.on('error', () => settle(RelayEnd.Broken))
       message.on('close', () => settle(RelayEnd.Broken))
--- /dev/null
+++ b/test/gateway/http-exchange.test.ts
@@ -0,0 +1,81 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
+import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
+import { HttpExchanges, isFailure, readWhole } from '../../src/gateway/http-exchange.js'
+
+const LIMIT_BYTES = 1024
+
+type Head = Awaited<ReturnType<HttpExchanges['start']>['head']>
+
+let server: Server | undefined
+
+afterEach(() => { server?.close() })
+
+/** A server that answers each request on a connection with the next script. */
+async function serve (...scripts: Array<(socket: Socket) => void>): Promise<string> {
+  let next = 0
+  server = createServer((socket) => {
+    socket.on('error', () => {})
+    socket.on('data', () => scripts[next++]?.(socket))
+  })
+  await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve))
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+async function get (exchanges: HttpExchanges, address: string, ownConnection = false): Promise<Head> {
+  const exchange = exchanges.start({ address, method: 'GET', target: '/', headers: ['Host', 'h'], body: Buffer.alloc(0), headTimeoutMs: 500, ownConnection })
+  return await exchange.head
+}
+
+async function bodyOf (head: Head): Promise<string | null> {
+  if (isFailure(head)) throw new Error(head.detail)
+  return (await readWhole(head, LIMIT_BYTES))?.toString() ?? null
+}
+
+describe('HttpExchanges', () => {
+  test('takes an answer without a length that ends with its connection as complete', async () => {
+    const address = await serve((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\nwhole'))
+    expect(await bodyOf(await get(new HttpExchanges(), address))).toBe('whole')
+  })
+
+  test('does not take an answer without a length as complete when its connection is reset', async () => {
+    const address = await serve((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhal')
+      setTimeout(() => socket.resetAndDestroy(), 30)
+    })
+    expect(await bodyOf(await get(new HttpExchanges(), address))).toBeNull()
+  })
+
+  test('does not take a body shorter than its length as complete', async () => {
+    const address = await serve((socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'))
+    expect(await bodyOf(await get(new HttpExchanges(), address))).toBeNull()
+  })
+
+  test('closes an idle connection on which more bytes arrive, so that they never answer the next request', async () => {
+    const address = await serve(
+      (socket) => {
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\none')
+        setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray'), 30)
+      },
+      (socket) => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo')
+    )
+    const exchanges = new HttpExchanges()
+    expect(await bodyOf(await get(exchanges, address))).toBe('one')
+    await new Promise((resolve) => setTimeout(resolve, 80))
+    expect(await bodyOf(await get(exchanges, address))).toBe('two')
+    exchanges.retain(new Set())
+  })
+
+  test('reports a refused connection as not sent and a reset one as broken', async () => {
+    const address = await serve((socket) => socket.resetAndDestroy())
+    expect(await get(new HttpExchanges(), address)).toMatchObject({ outcome: ExchangeOutcome.Broken })
+    await new Promise<void>((resolve) => server?.close(() => resolve()))
+    expect(await get(new HttpExchanges(), address)).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+  })
+
+  test('reports silence as timed out', async () => {
+    const address = await serve(() => {})
+    expect(await get(new HttpExchanges(), address, true)).toMatchObject({ outcome: ExchangeOutcome.TimedOut })
+  })
+})
+
