--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -37,6 +37,8 @@
   /** Names and values in turn, as received. */
   rawHeaders: string[]
   message: IncomingMessage
+  /** Whether the answer states where its body ends; without that it ends with its connection, also when the server died on the way. */
+  framed: boolean
   /** Whether the answer has arrived whole; to be asked at the end of the message. */
   isComplete: () => boolean
 }
@@ -158,6 +160,7 @@
       headers: message.headers,
       rawHeaders: message.rawHeaders,
       message,
+      framed: message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined,
       isComplete: () => message.complete && !reset
     }))
     request.on('error', (error) => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: error.message }))
--- /dev/null
+++ b/test/platform/caller-listener.test.ts
@@ -0,0 +1,86 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { once } from 'node:events'
+import type { Server } from 'node:http'
+import { type AddressInfo, connect } from 'node:net'
+import { createCallerListener } from '../../platform/caller-listener.js'
+import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
+import type { ExchangeHead } from '../../src/gateway/http-exchange.js'
+import { GatewayRefusal } from '../../src/gateway/refusal.js'
+
+let server: Server | undefined
+
+afterEach(() => { server?.close() })
+
+/** Sends raw bytes to a listener and returns everything it answers until it closes the connection or `until` arrives. */
+async function converse (bytes: string, options: { serve: (request: CallerRequest, responder: Responder) => void, stopping?: boolean, until?: string }): Promise<string> {
+  server = createCallerListener({
+    serve: options.serve,
+    limits: () => ({ headerBytes: 1000, bodyBytes: 10, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }),
+    stopping: () => options.stopping ?? false,
+    nowMs: () => 0
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const socket = connect((server.address() as AddressInfo).port, '127.0.0.1')
+  let text = ''
+  socket.on('data', (chunk) => {
+    text += chunk.toString()
+    if (options.until !== undefined && text.includes(options.until)) socket.destroy()
+  })
+  socket.on('error', () => {})
+  socket.write(bytes)
+  await once(socket, 'close')
+  return text.replace(/Date: .*\r\n/, '')
+}
+
+function headWith (framed: boolean, rawHeaders: string[]): ExchangeHead {
+  return { status: 200, statusText: 'OK', headers: {}, rawHeaders, message: null as never, framed, isComplete: () => true }
+}
+
+const requestHead = 'GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n'
+
+describe('createCallerListener', () => {
+  test('decodes what a caller says and drops headers that only the system may set', async () => {
+    let seen: CallerRequest | undefined
+    await converse(`POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 900\r\nX-Token-Counts: 1460,80\r\nX-Length-Hint: 55\r\nLast-Event-Id: 7\r\nX-Stage: decode\r\nX-Hold: h\r\nKv-Fetch: 1.1.1.1:1\r\nX-Expect-Instance: i\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Model: m\r\nContent-Length: 2\r\n\r\nok`, {
+      serve: (request, responder) => {
+        seen = request
+        responder.refuse(GatewayRefusal.NoServer, 250)
+      }
+    })
+    expect({ ...seen, body: seen?.body.toString() }).toMatchSnapshot()
+  })
+
+  test('ends an answer without a length with the connection, so that one cut short does not look complete', async () => {
+    const text = await converse(`${requestHead}\r\n`, {
+      serve: (_request, responder) => {
+        responder.head(headWith(false, ['X-Response-Signature', 's', 'Connection', 'close']))
+        responder.write(Buffer.from('part'))
+        responder.end()
+      }
+    })
+    expect(text).toBe('HTTP/1.1 200 OK\r\nX-Response-Signature: s\r\nConnection: close\r\n\r\npart')
+  })
+
+  test('closes the connection after each answer while the instance stops', async () => {
+    const text = await converse(`${requestHead}\r\n`, {
+      stopping: true,
+      serve: (_request, responder) => {
+        responder.head(headWith(true, ['Content-Length', '2']))
+        responder.write(Buffer.from('ok'))
+        responder.end()
+      }
+    })
+    expect(text).toBe('HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok')
+  })
+
+  test('states a refusal with its reason and the time after which to return', async () => {
+    const text = await converse(`${requestHead}\r\n`, { until: '}', serve: (_request, responder) => responder.refuse(GatewayRefusal.Overloaded, 1500) })
+    expect(text).toMatchSnapshot()
+  })
+
+  test('refuses a body over the limit without serving it', async () => {
+    const text = await converse(`POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\n${'x'.repeat(20)}`, { serve: () => { throw new Error('served') } })
+    expect(text).toMatch(/^HTTP\/1.1 413 /)
+  })
+})
