--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,7 +9,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
-  { files: ['src/**/*.ts'], rules },
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**'] }),
+  { files: ['src/**/*.ts', 'platform/**/*.ts'], rules },
   { files: ['test/**/*.ts'], rules: { '@typescript-eslint/consistent-type-imports': 'error' } }
 ]
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -23,6 +23,8 @@
   timeoutMs: number
   /** Time within which an answer, or the first event of a stream, is on time. */
   targetLatencyMs: number
+  /** Longest pause between events for which a stream is on time. */
+  longestPauseMs: number
   services: WeightedService[]
   /** Backend servers to which one request may be sent. */
   attempts: number
--- a/src/gateway/exchange-outcome.ts
+++ b/src/gateway/exchange-outcome.ts
@@ -4,6 +4,8 @@
 export enum ExchangeOutcome {
   /** A complete answer, or the head of a stream, of the server itself. */
   Answered = 'answered',
+  /** A complete answer in which the server says that it failed. */
+  Failed = 'failed',
   /** The connection was never established: nothing was sent. */
   NotSent = 'not-sent',
   /** The server states that it did not run the request. */
@@ -19,6 +21,7 @@
 /** The one place that decides whether a request surely did not run. */
 const surelyNotRun: Record<ExchangeOutcome, boolean> = {
   [ExchangeOutcome.Answered]: false,
+  [ExchangeOutcome.Failed]: false,
   [ExchangeOutcome.NotSent]: true,
   [ExchangeOutcome.Rejected]: true,
   [ExchangeOutcome.Misdirected]: true,
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -44,7 +44,7 @@
   if (reply.outcome !== ExchangeOutcome.Answered) exchange.cancel()
   if (pending.ended) return reply
   if (reply.outcome === ExchangeOutcome.Answered) health.succeeded(options.backend, forwarding.nowMs() - startedMs)
-  else health.failed(options.backend)
+  else health.failed(options.backend, reply.outcome)
   if (options.prefillOnly !== true) {
     if (countsAsAttempt(reply.outcome)) pending.sentTo.add(options.backend.id)
     if (!isSurelyNotRun(reply.outcome)) pending.mayHaveRun = true
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,7 +1,7 @@
 import { type Backend, Stage } from './backend.js'
 import { mayRunTwice, ExchangeOutcome } from './exchange-outcome.js'
 import { dispatch, type Forwarding, logFailedSend, refuseAtTimeout, refuseUnanswered, type Reply, takeAnotherSend } from './forwarding.js'
-import { readWhole } from './http-exchange.js'
+import { type ExchangeHead, readWhole } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 
 /** Largest answer of a plain service that is held until it is complete, in bytes; far above the kilobytes they send. */
@@ -16,25 +16,56 @@
 /** Refused callers return after about this time, in milliseconds, spread so that they don't return together. */
 const RETRY_AFTER_MS = 150
 
+/** A server's own answer at its deadline may arrive this much later, in milliseconds. */
+const ANSWER_MARGIN_MS = 100
+
+/** Statuses from here on say that the server failed. */
+const FIRST_FAILURE_STATUS = 500
+
+interface WholeAnswer {
+  head: ExchangeHead
+  body: Buffer
+}
+
+type Attempt = WholeAnswer | Exclude<Reply, { outcome: ExchangeOutcome.Answered }>
+
 /** Forwards a request to a plain service and holds the answer until it is complete, so that a repeatable one can go to another server. */
 export async function forwardPlain (forwarding: Forwarding, pending: PendingRequest): Promise<void> {
   let sending = false
-  pending.onTimeout = () => refuseAtTimeout(pending, sending)
+  /** A server's own failure, passed on if no other server does better. */
+  let failure: WholeAnswer | null = null
+  pending.onTimeout = () => {
+    if (failure !== null) passOn(pending, failure)
+    else refuseAtTimeout(pending, sending)
+  }
   const passedOver = new Set<string>()
   for (;;) {
     const backend = chooseBackend(forwarding, pending, passedOver)
     if (backend === undefined) break
     passedOver.add(backend.id)
     sending = true
-    const reply = await sendOnce(forwarding, pending, backend)
-    if (pending.ended || reply === null) return
+    const attempt = await sendOnce(forwarding, pending, backend)
+    if (pending.ended) return
     sending = false
+    const answered = 'body' in attempt
+    if (answered && attempt.head.status < FIRST_FAILURE_STATUS) return passOn(pending, attempt)
+    if (answered) failure ??= attempt
+    if (answered) forwarding.health.failed(backend, ExchangeOutcome.Failed)
+    const reply: Reply = answered ? { outcome: ExchangeOutcome.Failed, detail: `status ${attempt.head.status}` } : attempt
     logFailedSend(forwarding, pending, backend, reply)
     if (!takeAnotherSend(forwarding, pending, reply.outcome)) break
   }
+  if (failure !== null) return passOn(pending, failure)
   refuseUnanswered(pending, RETRY_AFTER_MS * (1 + forwarding.random()))
 }
 
+function passOn (pending: PendingRequest, { head, body }: WholeAnswer): void {
+  pending.markHeadSent()
+  pending.responder.head(head)
+  pending.responder.write(body)
+  pending.complete()
+}
+
 function chooseBackend ({ backends, health, failureDomain, random }: Forwarding, pending: PendingRequest, passedOver: Set<string>): Backend | undefined {
   const candidates = backends.ready(pending.service, Stage.None).filter(({ id }) => !passedOver.has(id))
   return candidates
@@ -42,8 +73,7 @@
     .sort((a, b) => a.cost - b.cost)[0]?.backend
 }
 
-/** Null when the answer has been passed on. */
-async function sendOnce (forwarding: Forwarding, pending: PendingRequest, backend: Backend): Promise<Reply | null> {
+async function sendOnce (forwarding: Forwarding, pending: PendingRequest, backend: Backend): Promise<Attempt> {
   const deadlineMs = pending.leftMs()
   const repeatable = mayRunTwice(pending.route) && pending.route.attempts > pending.sentTo.size + 1
   const patienceMs = Math.max(MIN_ANSWER_TIME_MS, forwarding.health.latencyMs(backend) * SLOW_ANSWER_FACTOR)
@@ -54,19 +84,9 @@
     headTimeoutMs: repeatable ? Math.min(deadlineMs, patienceMs) : deadlineMs + ANSWER_MARGIN_MS,
     ownConnection: false
   })
-  if (reply.outcome !== ExchangeOutcome.Answered || pending.ended) return reply
+  if (reply.outcome !== ExchangeOutcome.Answered) return reply
   const body = await readWhole(reply.head, MAX_ANSWER_BYTES)
-  if (pending.ended) return reply
-  if (body === null) {
-    forwarding.health.failed(backend)
-    return { outcome: ExchangeOutcome.Broken, detail: 'the answer broke off' }
-  }
-  pending.markHeadSent()
-  pending.responder.head(reply.head)
-  pending.responder.write(body)
-  pending.complete()
-  return null
+  if (body !== null) return { head: reply.head, body }
+  if (!pending.ended) forwarding.health.failed(backend, ExchangeOutcome.Broken)
+  return { outcome: ExchangeOutcome.Broken, detail: 'the answer broke off' }
 }
-
-/** A server's own answer at its deadline may arrive this much later, in milliseconds. */
-const ANSWER_MARGIN_MS = 100
--- a/src/gateway/server-health.ts
+++ b/src/gateway/server-health.ts
@@ -1,8 +1,16 @@
 import { type Backend, incarnationOf } from './backend.js'
+import { ExchangeOutcome } from './exchange-outcome.js'
 
-/** Weight of one more result in the averages; five results decide most of it. */
+/** Weight of one more good result in the averages; five results decide most of it. */
 const RESULT_WEIGHT = 0.2
 
+/** Weight of one more failure. Servers also answer with errors of their own while they are sound, so these say less than a broken exchange. */
+const failureWeights: Partial<Record<ExchangeOutcome, number>> = {
+  [ExchangeOutcome.Failed]: 0.1,
+  [ExchangeOutcome.Rejected]: 0.2
+}
+const FAILURE_WEIGHT = 0.4
+
 /** Time in which a bad record loses half its weight, so that a recovered server is tried again. */
 const RECORD_HALF_LIFE_MS = 3000
 
@@ -15,7 +23,7 @@
 /** Advantage of a server in the same failure domain, in milliseconds: it saves traffic between domains. */
 const OTHER_DOMAIN_COST_MS = 15
 
-interface Record {
+interface ServerRecord {
   failureShare: number
   latencyMs: number
   inFlight: number
@@ -24,7 +32,7 @@
 
 /** What this instance's own work shows about each backend server. */
 export class ServerHealth {
-  readonly #records = new Map<string, Record>()
+  readonly #records = new Map<string, ServerRecord>()
   readonly #nowMs: () => number
 
   constructor (options: { nowMs: () => number }) {
@@ -46,9 +54,9 @@
     record.latencyMs += (latencyMs - record.latencyMs) * RESULT_WEIGHT
   }
 
-  failed (backend: Backend): void {
+  failed (backend: Backend, outcome: ExchangeOutcome): void {
     const record = this.#decayed(backend)
-    record.failureShare += (1 - record.failureShare) * RESULT_WEIGHT * 2
+    record.failureShare += (1 - record.failureShare) * (failureWeights[outcome] ?? FAILURE_WEIGHT)
   }
 
   /** Share of recent work that failed, from 0 to 1. */
@@ -73,7 +81,7 @@
     for (const key of this.#records.keys()) if (!incarnations.has(key)) this.#records.delete(key)
   }
 
-  #decayed (backend: Backend): Record {
+  #decayed (backend: Backend): ServerRecord {
     const record = this.#record(backend)
     const nowMs = this.#nowMs()
     const factor = 0.5 ** ((nowMs - record.updatedMs) / RECORD_HALF_LIFE_MS)
@@ -83,7 +91,7 @@
     return record
   }
 
-  #record (backend: Backend): Record {
+  #record (backend: Backend): ServerRecord {
     const key = incarnationOf(backend)
     const known = this.#records.get(key)
     if (known !== undefined) return known
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -176,7 +176,7 @@
       return null
     }
     this.#forwarding.log.warn('stream.broken', { request: pending.request.id, route: pending.route.name, server: decode.id, lastEvent: this.#events.lastId ?? '', resumable: pending.route.resumable })
-    this.#forwarding.health.failed(decode)
+    this.#forwarding.health.failed(decode, ExchangeOutcome.Broken)
     this.#events.reset()
     return ExchangeOutcome.Broken
   }
--- /dev/null
+++ b/test/gateway/backend-table.test.ts
@@ -0,0 +1,59 @@
+import { describe, expect, test } from '@jest/globals'
+import { BackendState } from '../../src/gateway/backend.js'
+import { BackendTable, RETURN_GRACE_MS } from '../../src/gateway/backend-table.js'
+import { backend } from './gateway-fixtures.js'
+
+function tableAt (): { table: BackendTable, clock: { ms: number }, changes: string[] } {
+  const clock = { ms: 10_000 }
+  const changes: string[] = []
+  const table = new BackendTable({ nowMs: () => clock.ms, onChange: ({ kind, backend: { id } }) => changes.push(`${kind} ${id}`) })
+  return { table, clock, changes }
+}
+
+describe('BackendTable', () => {
+  test('gives no new work to a leaving server', () => {
+    const { table, changes } = tableAt()
+    table.put(backend())
+    table.put(backend({ state: BackendState.Leaving }))
+    expect(table.ready('plain')).toEqual([])
+    expect(changes).toEqual(['added b1', 'leaving b1'])
+  })
+
+  test('drops an entry removed while the store is sound', () => {
+    const { table } = tableAt()
+    table.put(backend())
+    table.remove('b1')
+    expect(table.get('b1')).toBeUndefined()
+  })
+
+  test('keeps servers whose entries lapsed around an outage, until the grace for their return ends', () => {
+    const { table, clock, changes } = tableAt()
+    table.put(backend())
+    table.put(backend({ id: 'b2' }))
+    table.markOutage()
+    table.replaceAll([])
+    expect(table.ready('plain')).toHaveLength(2)
+    table.put(backend({ id: 'b2' }))
+    clock.ms += RETURN_GRACE_MS
+    table.expire()
+    expect(table.ready('plain').map(({ id }) => id)).toEqual(['b2'])
+    expect(changes.slice(2)).toEqual(['missing b1', 'missing b2', 'removed b1'])
+  })
+
+  test('does not keep a server that was leaving when its entry lapsed in an outage', () => {
+    const { table } = tableAt()
+    table.put(backend({ state: BackendState.Leaving }))
+    table.markOutage()
+    table.remove('b1')
+    expect(table.get('b1')).toBeUndefined()
+  })
+
+  test('tells a restart under the same id, and refuses work meant for the life before', () => {
+    const { table, changes } = tableAt()
+    const before = backend()
+    table.put(before)
+    table.put(backend({ startedAtMs: 2 }))
+    expect(changes).toEqual(['added b1', 'restarted b1'])
+    expect(table.accepts(before)).toBe(false)
+  })
+})
--- /dev/null
+++ b/test/gateway/event-splitter.test.ts
@@ -0,0 +1,26 @@
+import { describe, expect, test } from '@jest/globals'
+import { EventSplitter } from '../../src/gateway/event-splitter.js'
+
+describe('EventSplitter', () => {
+  test('holds back a partial event and knows the last whole one', () => {
+    const splitter = new EventSplitter({ lastId: '6' })
+    expect(splitter.push(Buffer.from('id: 7\ndata: a\n\nid: 8\nda')).toString()).toBe('id: 7\ndata: a\n\n')
+    expect(splitter.lastId).toBe('7')
+    expect(splitter.push(Buffer.from('ta: b\n')).toString()).toBe('')
+    expect(splitter.push(Buffer.from('\n')).toString()).toBe('id: 8\ndata: b\n\n')
+    expect(splitter.lastId).toBe('8')
+  })
+
+  test('forgets a partial event whose stream broke off', () => {
+    const splitter = new EventSplitter({ lastId: null })
+    splitter.push(Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: hal'))
+    splitter.reset()
+    expect(splitter.push(Buffer.from('id: 2\ndata: b\n\n')).toString()).toBe('id: 2\ndata: b\n\n')
+  })
+
+  test('understands line ends of two bytes', () => {
+    const splitter = new EventSplitter({ lastId: null })
+    expect(splitter.push(Buffer.from('id:3\r\ndata: a\r\n\r\nrest')).toString()).toBe('id:3\r\ndata: a\r\n\r\n')
+    expect(splitter.lastId).toBe('3')
+  })
+})
--- /dev/null
+++ b/test/gateway/exchange-outcome.test.ts
@@ -0,0 +1,20 @@
+import { expect, test } from '@jest/globals'
+import { RouteKind } from '../../src/gateway/configuration.js'
+import { countsAsAttempt, ExchangeOutcome, isSurelyNotRun, mayTryElsewhere } from '../../src/gateway/exchange-outcome.js'
+import { route } from './gateway-fixtures.js'
+
+test('the table of outcomes says for each kind of route what may go to another server', () => {
+  const routes = {
+    idempotent: route({ kind: RouteKind.Idempotent }),
+    nonIdempotent: route({ kind: RouteKind.NonIdempotent }),
+    stream: route({ kind: RouteKind.Streaming }),
+    resumableStream: route({ kind: RouteKind.Streaming, resumable: true })
+  }
+  const table = Object.values(ExchangeOutcome).map((outcome) => ({
+    outcome,
+    surelyNotRun: isSurelyNotRun(outcome),
+    countsAsAttempt: countsAsAttempt(outcome),
+    elsewhere: Object.entries(routes).filter(([, candidate]) => mayTryElsewhere(candidate, outcome)).map(([name]) => name)
+  }))
+  expect(table).toMatchSnapshot()
+})
--- /dev/null
+++ b/test/gateway/gateway-fixtures.ts
@@ -0,0 +1,138 @@
+import { EventEmitter } from 'node:events'
+import type { IncomingMessage } from 'node:http'
+import { PassThrough } from 'node:stream'
+import { type Backend, BackendState, Stage } from '../../src/gateway/backend.js'
+import { type BackendPort, type Dispatch, HeadMeaning, type PromptHandle } from '../../src/gateway/backend-port.js'
+import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
+import { type Configuration, type Route, RouteKind } from '../../src/gateway/configuration.js'
+import type { Exchange, ExchangeFailure, ExchangeHead } from '../../src/gateway/http-exchange.js'
+import type { GatewayRefusal } from '../../src/gateway/refusal.js'
+import type { Log } from '../../src/logs/log.js'
+
+export function backend (options: Partial<Backend> = {}): Backend {
+  return { id: 'b1', service: 'plain', address: '10.0.0.1:80', failureDomain: 'a', state: BackendState.Ready, stage: Stage.None, slots: 6, startedAtMs: 1, ...options }
+}
+
+export function route (options: Partial<Route> = {}): Route {
+  return {
+    name: 'r',
+    host: 'h.example',
+    pathPrefix: '/p/',
+    kind: RouteKind.Idempotent,
+    timeoutMs: 1000,
+    targetLatencyMs: 150,
+    longestPauseMs: 300,
+    services: [{ service: 'plain', weight: 1 }],
+    attempts: 2,
+    priority: 1,
+    resumable: false,
+    ...options
+  }
+}
+
+export function configuration (options: Partial<Configuration> = {}): Configuration {
+  return {
+    version: 1,
+    routes: [route()],
+    services: [
+      { name: 'plain', maxConnections: 100, engine: null },
+      { name: 'model', maxConnections: 100, engine: { slots: 64, memoryTokens: 100_000, tokensPerEvent: 73 } }
+    ],
+    limits: { headerBytes: 16384, bodyBytes: 1 << 20, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+    ...options
+  }
+}
+
+export function callerRequest (options: Partial<CallerRequest> = {}): CallerRequest {
+  return { id: 'q1', host: 'h.example', method: 'GET', target: '/p/x', path: '/p/x', headers: [], body: Buffer.alloc(0), deadlineMs: null, arrivedMs: 0, lastEventId: null, work: null, ...options }
+}
+
+/** Records lines as `event key=value ...`. */
+export function recordingLog (): Log & { lines: string[] } {
+  const lines: string[] = []
+  const line = (event: string, fields: object = {}): void => {
+    lines.push([event, ...Object.entries(fields).map(([key, value]) => `${key}=${value}`)].join(' '))
+  }
+  return { lines, debug: line, info: line, warn: line, error: line }
+}
+
+/** Keeps what a caller would have received. */
+export class RecordingResponder implements Responder {
+  status: number | null = null
+  text = ''
+  ending: 'ended' | 'aborted' | 'refused' | null = null
+  refusal: GatewayRefusal | null = null
+  retryAfterMs: number | null = null
+  readonly #left = new EventEmitter()
+
+  head (head: ExchangeHead): void { this.status = head.status }
+  write (chunk: Buffer): boolean {
+    this.text += chunk.toString()
+    return true
+  }
+
+  onDrain (): void {}
+  end (): void { this.ending = 'ended' }
+  abort (): void { this.ending = 'aborted' }
+  refuse (refusal: GatewayRefusal, retryAfterMs: number | null): void {
+    Object.assign(this, { refusal, retryAfterMs, ending: 'refused' })
+  }
+
+  onLeft (left: () => void): void { this.#left.on('left', left) }
+  leave (): void { this.#left.emit('left') }
+}
+
+/** An answer of a scripted server: its head, the parts of its body, and whether it ends whole, breaks off or stays open. */
+export interface ScriptedAnswer {
+  status?: number
+  meaning?: HeadMeaning
+  parts?: string[]
+  end?: 'whole' | 'broken' | 'open'
+}
+
+export type Script = ScriptedAnswer | ExchangeFailure['outcome'] | 'silent'
+
+/** Servers that answer by a script and record what they were sent. */
+export class ScriptedCalls implements BackendPort {
+  readonly sent: Dispatch[] = []
+  readonly freed: PromptHandle[] = []
+  readonly cancelled: string[] = []
+  readonly #answer: (dispatch: Dispatch, number: number) => Script
+  readonly #meanings = new WeakMap<IncomingMessage, HeadMeaning>()
+
+  constructor (answer: (dispatch: Dispatch, number: number) => Script) {
+    this.#answer = answer
+  }
+
+  send (dispatch: Dispatch): Exchange {
+    this.sent.push(dispatch)
+    const script = this.#answer(dispatch, this.sent.length)
+    const cancel = (): void => { this.cancelled.push(dispatch.backend.id) }
+    if (script === 'silent') return { head: new Promise(() => {}), cancel }
+    if (typeof script === 'string') return { head: Promise.resolve({ outcome: script, detail: 'scripted' }), cancel }
+    return { head: Promise.resolve(this.#headOf(script)), cancel }
+  }
+
+  meaningOf (_dispatch: Dispatch, head: ExchangeHead): HeadMeaning {
+    return this.#meanings.get(head.message) ?? HeadMeaning.Answer
+  }
+
+  promptHandle (server: Backend, body: Buffer): PromptHandle | null {
+    return body.length === 0 ? null : { address: server.address, handle: body.toString() }
+  }
+
+  freePrompt (handle: PromptHandle): void { this.freed.push(handle) }
+
+  #headOf (script: ScriptedAnswer): ExchangeHead {
+    const stream = new PassThrough()
+    const message = stream as unknown as IncomingMessage
+    const end = script.end ?? 'whole'
+    this.#meanings.set(message, script.meaning ?? HeadMeaning.Answer)
+    setImmediate(() => {
+      for (const part of script.parts ?? []) stream.write(part)
+      if (end === 'whole') stream.end()
+      if (end === 'broken') setImmediate(() => stream.destroy())
+    })
+    return { status: script.status ?? 200, statusText: '', headers: {}, rawHeaders: [], message, framed: true, isComplete: () => end === 'whole' }
+  }
+}
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -78,4 +78,3 @@
     expect(await get(new HttpExchanges(), address, true)).toMatchObject({ outcome: ExchangeOutcome.TimedOut })
   })
 })
-
--- /dev/null
+++ b/test/gateway/placement-client.test.ts
@@ -0,0 +1,111 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { Stage } from '../../src/gateway/backend.js'
+import { BackendTable } from '../../src/gateway/backend-table.js'
+import { RouteKind } from '../../src/gateway/configuration.js'
+import { InstanceTable } from '../../src/gateway/instance-table.js'
+import { type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
+import { PendingRequest } from '../../src/gateway/pending-request.js'
+import { PlacementClient } from '../../src/gateway/placement-client.js'
+import { PlacementDesk } from '../../src/gateway/placement-desk.js'
+import { backend, callerRequest, recordingLog, RecordingResponder, route } from './gateway-fixtures.js'
+
+const engine = { slots: 64, memoryTokens: 100_000, tokensPerEvent: 73 }
+
+interface Fixture {
+  client: PlacementClient
+  sent: Array<{ ip: string, message: PeerDatagram }>
+  instances: InstanceTable
+  responder: RecordingResponder
+  pending: PendingRequest
+  log: ReturnType<typeof recordingLog>
+}
+
+const pendings: PendingRequest[] = []
+
+afterEach(() => { for (const pending of pendings.splice(0)) pending.complete() })
+
+/** An instance with the IP number 10.0.0.1 and the given peers; `answer` is what a peer does with a message. */
+function fixture (peers: string[], answer: (fixture: Fixture, ip: string, message: PeerDatagram) => void = () => {}): Fixture {
+  const nowMs = (): number => performance.now()
+  const backends = new BackendTable({ nowMs })
+  backends.put(backend({ id: 'd1', service: 'model', stage: Stage.Decode }))
+  const instances = new InstanceTable({ ip: '10.0.0.1', nowMs })
+  for (const ip of peers) instances.heard({ ip, failureDomain: 'a', callers: `${ip}:80`, ready: true, configurationVersion: 1, storeRevision: 1, reachesStore: true })
+  const responder = new RecordingResponder()
+  const log = recordingLog()
+  const sent: Fixture['sent'] = []
+  const result: Fixture = {
+    sent,
+    instances,
+    responder,
+    log,
+    pending: new PendingRequest({
+      request: callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 5000, maxOutputTokens: 9000, estimatedOutputTokens: 5000 } }),
+      route: route({ kind: RouteKind.Streaming, timeoutMs: 5000, targetLatencyMs: 900 }),
+      service: 'model',
+      responder,
+      nowMs
+    }),
+    client: new PlacementClient({
+      ip: '10.0.0.1',
+      failureDomain: 'a',
+      instances,
+      desk: new PlacementDesk({ nowMs, backends, engine: () => engine }),
+      ownDesk: new PlacementDesk({ nowMs, backends, engine: () => engine }),
+      engine: () => engine,
+      serves: () => false,
+      send: (ip, message) => {
+        sent.push({ ip, message })
+        setImmediate(() => answer(result, ip, message))
+      },
+      log,
+      nowMs
+    })
+  }
+  pendings.push(result.pending)
+  return result
+}
+
+const kinds = ({ sent }: Fixture): string[] => sent.map(({ message }) => message.kind)
+
+describe('PlacementClient', () => {
+  test('takes the place that the keeper gives, reports progress to it and releases the run at the end', async () => {
+    const play = fixture(['10.0.0.2'], ({ client }, _ip, message) => {
+      if (message.kind === PeerDatagramKind.Place) client.answered({ kind: PeerDatagramKind.Placed, id: message.request.id, prefill: 'p1', decode: 'd1' })
+    })
+    expect(await play.client.place(play.pending, [])).toEqual({ prefill: 'p1', decode: 'd1' })
+    play.client.prefilled('q1', 40)
+    play.client.progress('q1', '1')
+    play.client.report()
+    play.responder.leave()
+    expect(kinds(play)).toEqual(['place', 'prefilled', 'report', 'release'])
+    expect(play.sent[2]?.message).toMatchObject({ runs: [{ id: 'q1', decode: 'd1', madeTokens: 73 }] })
+  })
+
+  test('asks again when datagrams are lost', async () => {
+    let lost = 1
+    const play = fixture(['10.0.0.2'], ({ client }, _ip, message) => {
+      if (message.kind !== PeerDatagramKind.Place || lost-- > 0) return
+      client.answered({ kind: PeerDatagramKind.Placed, id: message.request.id, prefill: null, decode: 'd1' })
+    })
+    expect(await play.client.place(play.pending, [])).toEqual({ prefill: null, decode: 'd1' })
+    expect(kinds(play)).toEqual(['place', 'place'])
+  })
+
+  test('asks the next keeper when one stays silent, and decides alone when all do', async () => {
+    const play = fixture(['10.0.0.2', '10.0.0.3'])
+    expect(await play.client.place(play.pending, [])).toEqual({ prefill: null, decode: 'd1' })
+    expect(new Set(play.sent.filter(({ message }) => message.kind === PeerDatagramKind.Place).map(({ ip }) => ip)).size).toBe(2)
+    expect(play.log.lines.filter((line) => line.startsWith('keeper.silent'))).toHaveLength(2)
+  })
+
+  test('withdraws a request that waits at the keeper when its caller leaves', async () => {
+    const play = fixture(['10.0.0.2'], ({ client, responder }, _ip, message) => {
+      if (message.kind !== PeerDatagramKind.Place) return
+      client.answered({ kind: PeerDatagramKind.Waiting, id: message.request.id })
+      responder.leave()
+    })
+    await play.client.place(play.pending, [])
+    expect(kinds(play)).toEqual(['place', 'release'])
+  })
+})
--- /dev/null
+++ b/test/gateway/placement-desk.test.ts
@@ -0,0 +1,133 @@
+import { describe, expect, test } from '@jest/globals'
+import { type Backend, Stage } from '../../src/gateway/backend.js'
+import { BackendTable } from '../../src/gateway/backend-table.js'
+import { type Placement, PlacementDesk, PlacementRefusal, type PlacementRequest, type RefusedPlacement } from '../../src/gateway/placement-desk.js'
+import { backend } from './gateway-fixtures.js'
+
+const engine = { slots: 64, memoryTokens: 100_000, tokensPerEvent: 73 }
+
+interface Fixture {
+  desk: PlacementDesk
+  clock: { ms: number }
+  backends: BackendTable
+  decisions: Map<string, Placement | RefusedPlacement>
+  ask: (id: string, options?: Partial<PlacementRequest>) => void
+}
+
+function fixture (servers: Backend[]): Fixture {
+  const clock = { ms: 0 }
+  const backends = new BackendTable({ nowMs: () => clock.ms })
+  for (const server of servers) backends.put(server)
+  const desk = new PlacementDesk({ nowMs: () => clock.ms, backends, engine: () => engine })
+  const decisions = new Map<string, Placement | RefusedPlacement>()
+  const ask = (id: string, options: Partial<PlacementRequest> = {}): void => {
+    desk.request({
+      id,
+      service: 'model',
+      failureDomain: 'a',
+      promptTokens: 5000,
+      output: { estimateTokens: 5000, maxTokens: 9000 },
+      objectiveLeftMs: 900,
+      patienceMs: 650,
+      ...options
+    }, (decision) => decisions.set(id, decision))
+  }
+  return { desk, clock, backends, decisions, ask }
+}
+
+const decode = (id: string): Backend => backend({ id, service: 'model', stage: Stage.Decode })
+const prefill = (id: string): Backend => backend({ id, service: 'model', stage: Stage.Prefill })
+
+/** Reads the prompts of everything that has been placed. */
+function readPrompts ({ desk, decisions }: Fixture): void {
+  for (const id of decisions.keys()) desk.prefilled(id, 50)
+}
+
+describe('PlacementDesk', () => {
+  test('spreads runs over decode runners by their expected memory', () => {
+    const desk = fixture([prefill('p'), decode('d1'), decode('d2')])
+    for (const id of ['a', 'b', 'c', 'd']) {
+      desk.ask(id)
+      readPrompts(desk)
+    }
+    const places = [...desk.decisions.values()].map((decision) => 'decode' in decision ? decision.decode : '')
+    expect(places.toSorted()).toEqual(['d1', 'd1', 'd2', 'd2'])
+  })
+
+  test('a burst above the memory of all runners waits, and is refused when it can no longer be on time', () => {
+    const desk = fixture([prefill('p'), decode('d1'), decode('d2')])
+    for (let request = 0; request < 40; request += 1) {
+      desk.ask(`q${request}`)
+      readPrompts(desk)
+    }
+    const placed = desk.decisions.size
+    expect(placed).toBeGreaterThan(15)
+    expect(placed).toBeLessThan(30)
+    expect(desk.desk.waitingCount).toBe(40 - placed)
+    desk.clock.ms = 651
+    desk.desk.tick()
+    const refused = [...desk.decisions.values()].filter((decision) => 'refusal' in decision)
+    expect(refused).toHaveLength(40 - placed)
+    expect(refused[0]).toMatchObject({ refusal: PlacementRefusal.Overloaded })
+  })
+
+  test('starts no more prompts than a prefill runner reads soon, so that the order stays with the desk', () => {
+    const desk = fixture([prefill('p'), decode('d1'), decode('d2')])
+    for (const id of ['a', 'b', 'c', 'd', 'e']) desk.ask(id)
+    expect(desk.decisions.size).toBeLessThan(5)
+    desk.desk.prefilled('a', 50)
+    expect(desk.decisions.size).toBeGreaterThan(2)
+  })
+
+  test('a request that can still be on time goes before one that is late already', () => {
+    const desk = fixture([prefill('p'), decode('d1')])
+    desk.desk.learnFor(100)
+    desk.ask('late', { objectiveLeftMs: -500, patienceMs: 1500 })
+    desk.ask('fresh')
+    desk.clock.ms = 101
+    desk.desk.tick()
+    expect([...desk.decisions.keys()][0]).toBe('fresh')
+  })
+
+  test('frees memory when a run ends, when nobody reports it any more, and when its runner is gone', () => {
+    const desk = fixture([decode('d1')])
+    desk.ask('a')
+    desk.ask('b')
+    desk.desk.release('a')
+    expect(desk.desk.runCount).toBe(1)
+    desk.clock.ms = 3000
+    desk.desk.tick()
+    expect(desk.desk.runCount).toBe(0)
+    desk.ask('c')
+    desk.desk.forgetRunner(decode('d1'))
+    expect(desk.desk.runCount).toBe(0)
+  })
+
+  test('learns the runs that another desk placed before it places anything', () => {
+    const desk = fixture([prefill('p'), decode('d1'), decode('d2')])
+    desk.desk.learnFor(400)
+    desk.desk.report(Array.from({ length: 8 }, (_, index) => ({ id: `old${index}`, service: 'model', decode: 'd1', promptTokens: 5000, output: { estimateTokens: 5000, maxTokens: 9000 }, madeTokens: 1000 })))
+    desk.ask('new')
+    expect(desk.decisions.size).toBe(0)
+    desk.clock.ms = 401
+    desk.desk.tick()
+    expect(desk.decisions.get('new')).toMatchObject({ decode: 'd2' })
+  })
+
+  test('passes over a runner that has just failed, while there is another', () => {
+    const desk = fixture([decode('d1'), decode('d2')])
+    desk.desk.failed('d1')
+    desk.ask('a')
+    desk.ask('b')
+    expect([...desk.decisions.values()].map((decision) => 'decode' in decision && decision.decode)).toEqual(['d2', 'd2'])
+  })
+
+  test('refuses at once what no runner can ever hold, and when there is none', () => {
+    const desk = fixture([decode('d1')])
+    desk.ask('large', { promptTokens: 100_001 })
+    expect(desk.decisions.get('large')).toMatchObject({ refusal: PlacementRefusal.TooLarge })
+    const none = fixture([])
+    none.ask('a')
+    expect(none.decisions.get('a')).toMatchObject({ refusal: PlacementRefusal.NoRunner })
+  })
+})
--- /dev/null
+++ b/test/gateway/plain-forwarding.test.ts
@@ -0,0 +1,138 @@
+import { describe, expect, test } from '@jest/globals'
+import { HeadMeaning } from '../../src/gateway/backend-port.js'
+import { BackendTable } from '../../src/gateway/backend-table.js'
+import { type Route, RouteKind } from '../../src/gateway/configuration.js'
+import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
+import { PendingRequest } from '../../src/gateway/pending-request.js'
+import { forwardPlain } from '../../src/gateway/plain-forwarding.js'
+import { RepeatBudget } from '../../src/gateway/repeat-budget.js'
+import { ServerHealth } from '../../src/gateway/server-health.js'
+import { backend, callerRequest, recordingLog, RecordingResponder, route, type Script, ScriptedCalls } from './gateway-fixtures.js'
+
+interface Play {
+  responder: RecordingResponder
+  calls: ScriptedCalls
+  log: ReturnType<typeof recordingLog>
+  pending: PendingRequest
+  done: Promise<void>
+}
+
+function play (options: { route?: Partial<Route>, servers?: number, slack?: number, answer: (number: number) => Script }): Play {
+  const nowMs = (): number => performance.now()
+  const backends = new BackendTable({ nowMs })
+  for (let server = 1; server <= (options.servers ?? 2); server += 1) backends.put(backend({ id: `b${server}` }))
+  const calls = new ScriptedCalls((_dispatch, number) => options.answer(number))
+  const responder = new RecordingResponder()
+  const log = recordingLog()
+  const pending = new PendingRequest({ request: callerRequest({ arrivedMs: nowMs() }), route: route(options.route), service: 'plain', responder, nowMs })
+  const done = forwardPlain({
+    backends,
+    calls,
+    health: new ServerHealth({ nowMs }),
+    repeats: new RepeatBudget({ nowMs, ratio: 0, slack: options.slack ?? 100, windowMs: 1000, instances: () => 1 }),
+    failureDomain: 'a',
+    log,
+    nowMs,
+    random: () => 0
+  }, pending)
+  return { responder, calls, log, pending, done }
+}
+
+const unsafe = { kind: RouteKind.NonIdempotent }
+
+describe('forwardPlain', () => {
+  test('passes a whole answer on', async () => {
+    const { responder, done } = play({ answer: () => ({ parts: ['who', 'le'] }) })
+    await done
+    expect(responder).toMatchObject({ status: 200, text: 'whole', ending: 'ended' })
+  })
+
+  test.each([
+    ['a reset', ExchangeOutcome.Broken as const],
+    ['an answer of another request', { meaning: HeadMeaning.Invalid }],
+    ['an answer cut short', { parts: ['x'], end: 'broken' as const }]
+  ])('never sends a non-idempotent request twice, nor says that it did not run, after %s', async (_name, script) => {
+    const { responder, calls, done } = play({ route: unsafe, answer: () => script })
+    await done
+    expect(calls.sent).toHaveLength(1)
+    expect(responder.refusal).toBe('outcome-unknown')
+  })
+
+  test.each([
+    ['was never connected', ExchangeOutcome.NotSent as const],
+    ['reached a server that had the address before', { status: 421, meaning: HeadMeaning.OtherServer }]
+  ])('sends a non-idempotent request elsewhere when it %s', async (_name, script) => {
+    const { responder, calls, done } = play({ route: { ...unsafe, attempts: 1 }, answer: (number) => number === 1 ? script : { parts: ['ok'] } })
+    await done
+    expect(new Set(calls.sent.map(({ backend: { id } }) => id)).size).toBe(2)
+    expect(responder.text).toBe('ok')
+  })
+
+  test('sends no request to more servers than the route allows, and says truthfully that it did not run', async () => {
+    const { responder, calls, done } = play({ servers: 4, answer: () => ({ status: 503, meaning: HeadMeaning.NotRun }) })
+    await done
+    expect(calls.sent).toHaveLength(2)
+    expect(responder).toMatchObject({ refusal: 'rejected' })
+    expect(responder.retryAfterMs).toBeGreaterThan(0)
+  })
+
+  test('does not say that a request did not run when one server broke off and the next rejected it', async () => {
+    const { responder, done } = play({ answer: (number) => number === 1 ? ExchangeOutcome.Broken : { status: 503, meaning: HeadMeaning.NotRun } })
+    await done
+    expect(responder.refusal).toBe('outcome-unknown')
+  })
+
+  test('keeps to the shared budget of repeats', async () => {
+    const { calls, done } = play({ slack: 0, answer: () => ExchangeOutcome.Broken })
+    await done
+    expect(calls.sent).toHaveLength(1)
+  })
+
+  test('tries an idempotent request that a server failed elsewhere, and passes the failure on if that is no better', async () => {
+    const better = play({ answer: (number) => number === 1 ? { status: 500, parts: ['bad'] } : { parts: ['good'] } })
+    await better.done
+    expect(better.responder).toMatchObject({ status: 200, text: 'good' })
+    const worse = play({ answer: (number) => number === 1 ? { status: 500, parts: ['bad'] } : ExchangeOutcome.Broken })
+    await worse.done
+    expect(worse.responder).toMatchObject({ status: 500, text: 'bad', ending: 'ended' })
+  })
+
+  test('passes on the failure of a server that ran a non-idempotent request', async () => {
+    const { responder, calls, done } = play({ route: unsafe, answer: () => ({ status: 500, parts: ['bad'] }) })
+    await done
+    expect(calls.sent).toHaveLength(1)
+    expect(responder).toMatchObject({ status: 500, text: 'bad' })
+  })
+
+  test('gives a slow server up for an idempotent request only', async () => {
+    const { responder, calls, done } = play({ route: { timeoutMs: 2000 }, answer: (number) => number === 1 ? ExchangeOutcome.TimedOut : { parts: ['ok'] } })
+    await done
+    expect(responder.text).toBe('ok')
+    expect(calls.sent[0]?.headTimeoutMs).toBeLessThan(500)
+    const single = play({ route: { ...unsafe, timeoutMs: 2000 }, answer: () => ({ parts: ['ok'] }) })
+    await single.done
+    expect(single.calls.sent[0]?.headTimeoutMs).toBeGreaterThan(1900)
+  })
+
+  test('answers 504 soon after the route\'s timeout when a server stays silent, and lets the server go', async () => {
+    const { responder, calls, pending } = play({ route: { ...unsafe, timeoutMs: 60 }, answer: () => 'silent' })
+    await new Promise((resolve) => setTimeout(resolve, 200))
+    expect(pending.ended).toBe(true)
+    expect(responder.refusal).toBe('timed-out')
+    expect(calls.cancelled).toEqual([calls.sent[0]?.backend.id])
+  })
+
+  test('frees the server at once when the caller leaves', async () => {
+    const { responder, calls, pending } = play({ answer: () => 'silent' })
+    await new Promise((resolve) => setTimeout(resolve, 5))
+    responder.leave()
+    expect(pending.ending).toBe('left')
+    expect(calls.cancelled).toHaveLength(1)
+  })
+
+  test('refuses at once when no server is known', async () => {
+    const { responder, done } = play({ servers: 0, answer: () => 'silent' })
+    await done
+    expect(responder.refusal).toBe('no-server')
+  })
+})
--- /dev/null
+++ b/test/gateway/repeat-budget.test.ts
@@ -0,0 +1,28 @@
+import { describe, expect, test } from '@jest/globals'
+import { RepeatBudget } from '../../src/gateway/repeat-budget.js'
+
+function takeAll (budget: RepeatBudget): number {
+  let taken = 0
+  while (budget.take('s')) taken += 1
+  return taken
+}
+
+describe('RepeatBudget', () => {
+  test('all instances together stay below the allowed repeats of a window', () => {
+    const instances = 9
+    const each = Array.from({ length: instances }, () => new RepeatBudget({ nowMs: () => 0, ratio: 0.2, slack: 58, windowMs: 10_000, instances: () => instances }))
+    for (const budget of each) for (let request = 0; request < 50; request += 1) budget.addRequest('s')
+    const taken = each.reduce((sum, budget) => sum + takeAll(budget), 0)
+    expect(taken).toBeGreaterThan(50)
+    expect(taken).toBeLessThanOrEqual(0.2 * 450 + 58)
+  })
+
+  test('takes repeats back when the window has passed', () => {
+    let nowMs = 0
+    const budget = new RepeatBudget({ nowMs: () => nowMs, ratio: 0, slack: 10, windowMs: 1000, instances: () => 1 })
+    const taken = takeAll(budget)
+    expect(taken).toBe(7)
+    nowMs = 1001
+    expect(takeAll(budget)).toBe(taken)
+  })
+})
--- /dev/null
+++ b/test/gateway/stream-forwarding.test.ts
@@ -0,0 +1,129 @@
+import { describe, expect, test } from '@jest/globals'
+import { Stage } from '../../src/gateway/backend.js'
+import { type Dispatch, HeadMeaning } from '../../src/gateway/backend-port.js'
+import { BackendTable } from '../../src/gateway/backend-table.js'
+import { type Route, RouteKind } from '../../src/gateway/configuration.js'
+import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
+import { PendingRequest } from '../../src/gateway/pending-request.js'
+import { type Placement, PlacementRefusal, type RefusedPlacement } from '../../src/gateway/placement-desk.js'
+import type { Placing } from '../../src/gateway/placing.js'
+import { RepeatBudget } from '../../src/gateway/repeat-budget.js'
+import { ServerHealth } from '../../src/gateway/server-health.js'
+import { forwardStream } from '../../src/gateway/stream-forwarding.js'
+import { backend, callerRequest, recordingLog, RecordingResponder, route, type Script, ScriptedCalls } from './gateway-fixtures.js'
+
+interface Play {
+  responder: RecordingResponder
+  calls: ScriptedCalls
+  events: string[]
+  pending: PendingRequest
+  done: Promise<void>
+}
+
+const prompt = (dispatch: Dispatch): boolean => dispatch.prefillOnly === true
+
+function play (options: { route?: Partial<Route>, places?: Array<Placement | RefusedPlacement>, answer: (dispatch: Dispatch, number: number) => Script }): Play {
+  const nowMs = (): number => performance.now()
+  const backends = new BackendTable({ nowMs })
+  backends.put(backend({ id: 'p1', service: 'model', stage: Stage.Prefill, address: '10.0.0.9:80' }))
+  for (const id of ['d1', 'd2']) backends.put(backend({ id, service: 'model', stage: Stage.Decode }))
+  const events: string[] = []
+  const places = options.places ?? [{ prefill: 'p1', decode: 'd1' }, { prefill: 'p1', decode: 'd2' }]
+  const placing: Placing = {
+    place: (_pending, excluded) => Promise.resolve(places[excluded.length] ?? { refusal: PlacementRefusal.NoRunner, retryAfterMs: 100 }),
+    prefilled: (_id, rate) => events.push(rate === null ? 'prompt dropped' : 'prompt read'),
+    progress: (_id, eventId) => events.push(`event ${eventId}`),
+    failed: (_service, server) => events.push(`failed ${server}`)
+  }
+  const calls = new ScriptedCalls(options.answer)
+  const responder = new RecordingResponder()
+  const request = callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 100, maxOutputTokens: 100, estimatedOutputTokens: null } })
+  const pending = new PendingRequest({
+    request,
+    route: route({ kind: RouteKind.Streaming, attempts: 1, timeoutMs: 3000, ...options.route }),
+    service: 'model',
+    responder,
+    nowMs
+  })
+  const done = forwardStream({
+    backends,
+    calls,
+    health: new ServerHealth({ nowMs }),
+    repeats: new RepeatBudget({ nowMs, ratio: 0, slack: 100, windowMs: 1000, instances: () => 1 }),
+    failureDomain: 'a',
+    log: recordingLog(),
+    nowMs,
+    random: () => 0,
+    placing
+  }, pending)
+  return { responder, calls, events, pending, done }
+}
+
+const stream = { parts: ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'] }
+const broken = { parts: ['id: 1\ndata: a\n\nid: 2\nda'], end: 'broken' as const }
+const notRun = { status: 503, meaning: HeadMeaning.NotRun }
+
+describe('forwardStream', () => {
+  test('has the prompt read at one runner and streams from another', async () => {
+    const { responder, calls, done } = play({ answer: (dispatch) => prompt(dispatch) ? { parts: ['h1'] } : stream })
+    await done
+    expect(calls.sent.map(({ backend: { id }, prefillOnly, source }) => ({ id, prefillOnly, source }))).toEqual([
+      { id: 'p1', prefillOnly: true, source: undefined },
+      { id: 'd1', prefillOnly: undefined, source: { address: '10.0.0.9:80', handle: 'h1' } }
+    ])
+    expect(responder).toMatchObject({ text: stream.parts.join(''), ending: 'ended' })
+  })
+
+  test('lets the decode runner read the prompt when the prefill runner fails', async () => {
+    const { responder, calls, events, done } = play({ answer: (dispatch) => prompt(dispatch) ? ExchangeOutcome.Broken : stream })
+    await done
+    expect(calls.sent[1]?.source).toBeNull()
+    expect(events).toContain('failed p1')
+    expect(responder.ending).toBe('ended')
+  })
+
+  test('sends once more to the same runner without the prompt memory when that has lapsed', async () => {
+    const { responder, calls, done } = play({ answer: (dispatch) => prompt(dispatch) ? { parts: ['h1'] } : dispatch.source === null ? stream : notRun })
+    await done
+    expect(calls.sent.map(({ backend: { id } }) => id)).toEqual(['p1', 'd1', 'd1'])
+    expect(responder.ending).toBe('ended')
+  })
+
+  test('goes on after the last whole event at another runner where the route allows it', async () => {
+    const { responder, calls, done } = play({
+      route: { resumable: true, attempts: 2 },
+      answer: (dispatch) => prompt(dispatch) ? { parts: ['h1'] } : dispatch.backend.id === 'd1' ? broken : { parts: ['id: 2\ndata: b\n\n'] }
+    })
+    await done
+    expect(calls.sent.at(-1)).toMatchObject({ backend: { id: 'd2' }, lastEventId: '1' })
+    expect(responder).toMatchObject({ text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', ending: 'ended' })
+  })
+
+  test('breaks a stream off visibly that can\'t go on elsewhere, and never joins two runs', async () => {
+    const { responder, calls, done } = play({ route: { attempts: 2 }, answer: (dispatch) => prompt(dispatch) ? { parts: ['h1'] } : broken })
+    await done
+    expect(calls.sent.filter((dispatch) => !prompt(dispatch))).toHaveLength(1)
+    expect(responder.ending).toBe('aborted')
+  })
+
+  test('frees prompt memory that a caller who left will not use', async () => {
+    const { responder, calls, done } = play({ answer: () => ({ parts: ['h1'] }) })
+    responder.leave()
+    await done
+    expect(calls.sent.filter((dispatch) => !prompt(dispatch))).toHaveLength(0)
+  })
+
+  test('refuses truthfully when no place is to be had, and says when to return', async () => {
+    const { responder, calls, done } = play({ places: [{ refusal: PlacementRefusal.Overloaded, retryAfterMs: 900 }], answer: () => stream })
+    await done
+    expect(calls.sent).toHaveLength(0)
+    expect(responder).toMatchObject({ refusal: 'overloaded' })
+    expect(responder.retryAfterMs).toBeGreaterThanOrEqual(900)
+  })
+
+  test('passes a runner\'s own failure on', async () => {
+    const { responder, done } = play({ answer: (dispatch) => prompt(dispatch) ? { parts: ['h1'] } : { status: 500, parts: ['bad'] } })
+    await done
+    expect(responder).toMatchObject({ status: 500, text: 'bad', ending: 'ended' })
+  })
+})
