Balance runner roles by orders, let late requests wait behind those on time

Ruled out: prefill speed (two runners read more than is asked), lost placements (all refusals are the desk's). Change: the keeper gives one order at a time, each with a fencing number from a conditional write.

--- a/src/gateway/backend-port.ts
+++ b/src/gateway/backend-port.ts
@@ -1,4 +1,4 @@
-import type { Backend } from './backend.js'
+import type { Backend, Stage } from './backend.js'
 import type { CallerRequest } from './caller-request.js'
 import type { Exchange, ExchangeHead } from './http-exchange.js'
 
@@ -38,12 +38,24 @@
   Invalid = 'invalid'
 }
 
+/** An order to a runner to take another role. */
+export interface RoleOrder {
+  backend: Backend
+  stage: Stage.Prefill | Stage.Decode
+  holder: string
+  fencingNumber: number
+}
+
+/** What is known of an order: accepted or already in force, surely refused, or neither. */
+export type OrderOutcome = 'accepted' | 'refused' | 'unknown'
+
 /** Calls of backend servers, in the protocol that they speak. */
 export interface BackendPort {
   send: (dispatch: Dispatch) => Exchange
   meaningOf: (dispatch: Dispatch, head: ExchangeHead) => HeadMeaning
   /** Decodes the answer to a prefill; null if it is not one. */
   promptHandle: (backend: Backend, body: Buffer) => PromptHandle | null
+  order: (order: RoleOrder) => Promise<OrderOutcome>
   /** Frees prompt memory that will not be used. */
   freePrompt: (handle: PromptHandle) => void
 }
--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -10,7 +10,7 @@
 }
 
 export interface BackendChange {
-  kind: 'added' | 'leaving' | 'missing' | 'removed' | 'restarted'
+  kind: 'added' | 'changed-role' | 'leaving' | 'missing' | 'removed' | 'restarted'
   backend: Backend
 }
 
@@ -48,6 +48,7 @@
     this.#known.set(backend.id, { backend, missingSinceMs: null })
     if (before === undefined) return this.#tell('added', backend)
     if (incarnationOf(before.backend) !== incarnationOf(backend)) return this.#tell('restarted', backend)
+    if (before.backend.stage !== backend.stage) this.#tell('changed-role', backend)
     if (before.backend.state === BackendState.Ready && backend.state === BackendState.Leaving) this.#tell('leaving', backend)
   }
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,6 +7,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import { InstanceTable, type InstanceStatus } from './instance-table.js'
+import { OrderAuthority } from './order-authority.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import { PendingRequest } from './pending-request.js'
 import { deskHandlers, PlacementClient } from './placement-client.js'
@@ -14,9 +15,10 @@
 import { forwardPlain } from './plain-forwarding.js'
 import { GatewayRefusal, refusalStatus } from './refusal.js'
 import { RepeatBudget } from './repeat-budget.js'
+import { RoleOrders } from './role-orders.js'
 import { chooseService, RouteTable } from './route-table.js'
 import { ServerHealth } from './server-health.js'
-import { type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
+import { type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { forwardStream, type StreamForwarding } from './stream-forwarding.js'
 
 /** A new keeper waits this long for the instances' reports before it places anything, in milliseconds; they come each 300. */
@@ -33,6 +35,7 @@
 interface GatewayOptions {
   settings: GatewaySettings
   calls: BackendPort
+  store: PlatformStore
   log: Log
   metrics: GatewayMetrics
   send: (ip: string, message: PeerDatagram) => void
@@ -48,6 +51,8 @@
   readonly #health: ServerHealth
   readonly #desk: PlacementDesk
   readonly #ownDesk: PlacementDesk
+  readonly #roles: RoleOrders
+  readonly orders: OrderAuthority
   readonly #placing: PlacementClient
   readonly #forwarding: StreamForwarding
   readonly #pending = new Set<PendingRequest>()
@@ -68,7 +73,18 @@
     for (const ip of settings.seeds) this.instances.name(ip)
     this.#health = new ServerHealth({ nowMs })
     const engine = (service: string): Engine | null => this.#routes?.service(service)?.engine ?? null
-    this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine })
+    this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine, isChanging: (id) => this.#roles.isChanging(id) })
+    this.orders = new OrderAuthority({ store: options.store, holder: settings.id, turnMs: settings.orderTurnMs, log, nowMs })
+    this.#roles = new RoleOrders({
+      backends: this.backends,
+      calls: options.calls,
+      authority: this.orders,
+      holder: settings.id,
+      mix: (service) => this.#desk.mix(service),
+      load: (backend) => this.#desk.load(backend),
+      log,
+      nowMs
+    })
     this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, fill: () => MEMORY_FILL / this.instances.servingCount() })
     this.#placing = new PlacementClient({
       ip: settings.ip,
@@ -86,7 +102,7 @@
       backends: this.backends,
       calls: options.calls,
       health: this.#health,
-      repeats: new RepeatBudget({ nowMs, ratio: settings.repeats.ratio, slack: settings.repeats.slack, windowMs: settings.repeats.windowS * MS_PER_SECOND, instances: () => this.instances.servingCount() }),
+      repeats: new RepeatBudget({ nowMs, ratio: settings.repeats.ratio, slack: settings.repeats.slack, windowMs: settings.repeats.windowS * MS_PER_SECOND, instances: () => this.instances.knownCount() }),
       failureDomain: settings.failureDomain,
       log,
       nowMs,
@@ -194,6 +210,7 @@
   /** Work that is due a few times a second. */
   tick (): void {
     this.#noteKeeping()
+    if (this.#reachesStore && !this.#stopping) this.#considerRoles()
     this.#desk.tick()
     this.#ownDesk.tick()
   }
@@ -226,7 +243,17 @@
     pending.onEnd = (ending) => {
       this.#pending.delete(pending)
       this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
-      this.#options.log.info('request.ended', { request: request.id, route: route.name, service, ending, ms: Math.round(pending.ageMs()), version: this.#routes?.version ?? -1 })
+      this.#options.log.info('request.ended', {
+        request: request.id,
+        route: route.name,
+        service,
+        ending,
+        ms: Math.round(pending.ageMs()),
+        sentTo: [...pending.sentTo].join(',') || 'none',
+        ...pending.notes,
+        configuration: this.#routes?.version ?? -1,
+        storeRevision: this.#storeRevision
+      })
     }
     this.#forwarding.repeats.addRequest(service)
     const work = request.work !== null && this.#routes?.service(service)?.engine != null
@@ -288,6 +315,12 @@
     }
   }
 
+  #considerRoles (): void {
+    for (const service of this.#kept) {
+      this.#roles.consider(service).catch((error: unknown) => this.#options.log.error('role.fault', { service, detail: String(error) }))
+    }
+  }
+
   #onBackend ({ kind, backend }: BackendChange): void {
     this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, revision: this.#storeRevision })
     if (kind === 'removed' || kind === 'restarted') this.#desk.forgetRunner(backend)
@@ -318,5 +351,6 @@
   [StoreChangeKind.Instance]: (gateway, { ip }) => gateway.instances.name(ip),
   // An instance is taken for gone only when it falls silent: its key may have been taken away while it serves.
   [StoreChangeKind.InstanceRemoved]: () => {},
+  [StoreChangeKind.OrderRecord]: (gateway, { service, record }) => gateway.orders.see(service, record),
   [StoreChangeKind.Unreadable]: (gateway, { key, detail }) => gateway.logUnreadable(key, detail)
 }
--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -76,6 +76,11 @@
     return live
   }
 
+  /** Instances heard or named lately, this one included: an upper bound also for one that is cut off from the others. */
+  knownCount (): number {
+    return 1 + this.named().length
+  }
+
   /** Instances that take requests, this one included. */
   servingCount (): number {
     return 1 + this.live().filter(({ ready }) => ready).length
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -1,5 +1,6 @@
 import { decode, encode } from 'cbor-x'
 import { z } from 'zod'
+import { PlacementRefusal } from './placement-desk.js'
 
 export enum PeerDatagramKind {
   Heartbeat = 'heartbeat',
@@ -41,7 +42,7 @@
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Placed), id: z.string(), prefill: z.string().nullable(), decode: z.string() }),
   z.object({ kind: z.literal(PeerDatagramKind.Waiting), id: z.string() }),
-  z.object({ kind: z.literal(PeerDatagramKind.Refused), id: z.string(), refusal: z.string(), retryAfterMs: z.number() }),
+  z.object({ kind: z.literal(PeerDatagramKind.Refused), id: z.string(), refusal: z.enum(PlacementRefusal), retryAfterMs: z.number(), waiting: z.number(), runs: z.number() }),
   z.object({ kind: z.literal(PeerDatagramKind.Release), id: z.string() }),
   z.object({ kind: z.literal(PeerDatagramKind.Prefilled), id: z.string(), tokensPerMs: z.number().nullable() }),
   z.object({
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -1,6 +1,7 @@
 import type { CallerRequest, Responder } from './caller-request.js'
 import type { Route } from './configuration.js'
 import type { Exchange } from './http-exchange.js'
+import type { LogFields } from '../logs/log.js'
 import type { GatewayRefusal } from './refusal.js'
 
 /** Servers stop at the deadline that they are given and say so; their answer gets this long to arrive before the gateway answers itself, in milliseconds. */
@@ -40,6 +41,13 @@
     this.responder.onLeft(() => this.#finish('left'))
   }
 
+  /** What was decided for the request, for its log line. */
+  readonly notes: LogFields = {}
+
+  note (fields: LogFields): void {
+    Object.assign(this.notes, fields)
+  }
+
   /** How the request ended, for its log line; set once. */
   ending: string | null = null
   onTimeout: () => void = () => {}
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -1,5 +1,5 @@
 import type { Log } from '../logs/log.js'
-import type { Engine } from './configuration.js'
+import type { Engine, Route } from './configuration.js'
 import type { InstanceTable } from './instance-table.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PendingRequest } from './pending-request.js'
@@ -27,11 +27,22 @@
 /** Time needed from a place to the first event, in milliseconds; a wait that leaves less makes the stream late. */
 const START_TIME_MS = 250
 
-/** Longest wait of a request that is late already, in milliseconds: callers give up on a silent stream after two seconds or more. */
-const LATE_PATIENCE_MS = 1500
+/** Callers give up on a silent stream after the longest of two seconds, four objectives and eight longest pauses. */
+const GIVE_UP_MS = 2000
+const GIVE_UP_OBJECTIVES = 4
+const GIVE_UP_PAUSES = 8
+
+/** Share of the time until callers give up in which a request may wait for a place; the rest is for its first event and for a truthful refusal in time. */
+const PATIENCE_SHARE = 0.7
+
+/** Share of its remaining time that a request may wait for a place; a stream needs the rest. */
+const WAITING_SHARE = 0.4
 
 type Decision = Placement | RefusedPlacement
 
+/** Settles the question of a request that has ended meanwhile; nobody reads it. */
+const CALLER_LEFT: RefusedPlacement = { refusal: PlacementRefusal.Overloaded, retryAfterMs: 0, waiting: 0, runs: 0 }
+
 interface OwnRun extends RunReport {
   tokensPerEvent: number
   keeper: string
@@ -121,7 +132,8 @@
     if (message.kind === PeerDatagramKind.Waiting) this.#asking.get(message.id)?.heard()
     if (message.kind === PeerDatagramKind.Placed) this.#asking.get(message.id)?.decide({ prefill: message.prefill, decode: message.decode })
     if (message.kind === PeerDatagramKind.Refused) {
-      this.#asking.get(message.id)?.decide({ refusal: message.refusal as PlacementRefusal, retryAfterMs: message.retryAfterMs })
+      const { refusal, retryAfterMs, waiting, runs } = message
+      this.#asking.get(message.id)?.decide({ refusal, retryAfterMs, waiting, runs })
     }
   }
 
@@ -129,7 +141,6 @@
     const { request, route, service } = pending
     const work = request.work
     const objectiveLeftMs = route.targetLatencyMs - pending.ageMs() - lateness(pending)
-    const onTimeMs = objectiveLeftMs - START_TIME_MS
     return {
       id: request.id,
       service,
@@ -137,7 +148,7 @@
       promptTokens: work?.promptTokens ?? 0,
       output: { estimateTokens: work?.estimatedOutputTokens ?? null, maxTokens: work?.maxOutputTokens ?? 0 },
       objectiveLeftMs,
-      patienceMs: Math.min(onTimeMs > 0 ? onTimeMs : LATE_PATIENCE_MS, pending.leftMs())
+      patienceMs: Math.min(PATIENCE_SHARE * giveUpMs(route) - START_TIME_MS, WAITING_SHARE * pending.leftMs())
     }
   }
 
@@ -146,7 +157,7 @@
       desk.request(request, resolve)
       pending.onStop(() => {
         desk.release(request.id)
-        resolve({ refusal: PlacementRefusal.Overloaded, retryAfterMs: 0 })
+        resolve(CALLER_LEFT)
       })
     })
   }
@@ -178,14 +189,16 @@
       pending.onStop(() => {
         if (!this.#asking.has(request.id)) return
         this.#options.send(keeper, { kind: PeerDatagramKind.Release, id: request.id })
-        settle({ refusal: PlacementRefusal.Overloaded, retryAfterMs: 0 })
+        settle(CALLER_LEFT)
       })
       ask()
     })
   }
 
   #taken (pending: PendingRequest, request: PlacementRequest, keeper: string, decision: Decision): Decision {
+    pending.note({ keeper, placedMs: Math.round(pending.ageMs()) })
     if ('refusal' in decision) return decision
+    pending.note({ decode: decision.decode, prefill: decision.prefill ?? 'none' })
     const { id, service, promptTokens, output } = request
     const tokensPerEvent = this.#options.engine(service)?.tokensPerEvent ?? 1
     this.#runs.set(id, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, keeper })
@@ -213,6 +226,11 @@
   }
 }
 
+/** Time without an event after which callers give up. */
+function giveUpMs ({ targetLatencyMs, longestPauseMs }: Route): number {
+  return Math.max(GIVE_UP_MS, GIVE_UP_OBJECTIVES * targetLatencyMs, GIVE_UP_PAUSES * longestPauseMs)
+}
+
 /** How long ago the caller's first attempt was, from the time that a returning caller has left. */
 function lateness ({ request, route }: PendingRequest): number {
   return request.deadlineMs === null ? 0 : Math.max(0, route.timeoutMs - request.deadlineMs)
--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -3,18 +3,35 @@
 import type { Engine } from './configuration.js'
 import { type RunMemory, peakMemory } from './memory-forecast.js'
 import { expectedRemaining, type OutputLength } from './output-length.js'
+import type { RequestMix } from './role-balance.js'
 
 /** Share of a decode runner's memory that forecasts may fill; the rest absorbs runs longer than expected. */
 export const MEMORY_FILL = 0.88
 
+/** Part of that share which requests may fill that are late already, so that they don't keep out those that can still be on time. */
+const LATE_PART = 0.8
+
 /** Prompt tokens that may wait at one prefill runner, in milliseconds of its work: enough to keep it busy, few enough to keep the order here. */
 const PREFILL_BACKLOG_MS = 200
 
 /** Prompt tokens a prefill runner reads in a millisecond until answers have shown it. */
 const INITIAL_PREFILL_RATE = 45
 
-/** Weight of one more measured rate in the average. */
-const RATE_WEIGHT = 0.2
+/** Weights of one more measured prefill rate: waiting makes rates look low, so high ones count for more. */
+const HIGHER_RATE_WEIGHT = 0.5
+const LOWER_RATE_WEIGHT = 0.02
+
+/** Weight of one more request in the averages of prompts, outputs and speeds. */
+const MIX_WEIGHT = 0.05
+
+/** Requests after which the averages mean something. */
+const MIX_REQUESTS = 20
+
+/** Time for each token of a run until reports have shown it, in milliseconds. */
+const INITIAL_MS_PER_TOKEN = 0.9
+
+/** Shortest time between two reports from which a speed is taken, in milliseconds. */
+const SPEED_SPAN_MS = 100
 
 /** Runs of an instance that has not reported for this long are taken to be gone, in milliseconds; reports come several times in it. */
 const REPORT_LIFETIME_MS = 2500
@@ -25,6 +42,12 @@
 /** A runner that failed a request is passed over for this long, in milliseconds. */
 const FAILED_RUNNER_REST_MS = 1500
 
+/** A refused request is told to return after this time, in milliseconds: runs take about four seconds, so half of the memory is free again by then. */
+const RETURN_MS = 2000
+
+/** Added to the rank of late requests: above every time in milliseconds. */
+const LATE_RANK = 2 ** 50
+
 /** A model request that wants a place on a prefill and a decode runner. */
 export interface PlacementRequest {
   id: string
@@ -57,6 +80,9 @@
   refusal: PlacementRefusal
   /** When memory is expected to be free, in milliseconds. */
   retryAfterMs: number
+  /** Requests that wait and runs that hold memory, as the desk saw them. */
+  waiting: number
+  runs: number
 }
 
 /** Called once with the decision on a request. */
@@ -94,6 +120,8 @@
   nowMs: () => number
   backends: BackendTable
   engine: (service: string) => Engine | null
+  /** Whether a runner is changing its role. */
+  isChanging?: (id: string) => boolean
   /** Share of each decode runner's memory that this desk may fill. */
   fill?: () => number
 }
@@ -108,6 +136,7 @@
   readonly #waiting = new Map<string, Waiting>()
   readonly #prefillRates = new Map<string, number>()
   readonly #restUntilMs = new Map<string, number>()
+  readonly #mixes = new Map<string, { requests: number, promptTokens: number, outputTokens: number, msPerToken: number }>()
   #learnsUntilMs = -Infinity
 
   constructor (options: PlacementDeskOptions) {
@@ -135,6 +164,7 @@
       decide(impossible)
       return false
     }
+    this.#noteRequest(request)
     this.#waiting.set(request.id, { request, decide, arrivedMs: nowMs, objectiveMs: nowMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs })
     this.placeWaiting()
     return this.#waiting.has(request.id)
@@ -162,7 +192,8 @@
     if (run === undefined || run.prefill === null) return
     if (tokensPerMs !== null) {
       const rate = this.#prefillRate(run.prefill)
-      this.#prefillRates.set(run.prefill, rate + (tokensPerMs - rate) * RATE_WEIGHT)
+      const weight = tokensPerMs > rate ? HIGHER_RATE_WEIGHT : LOWER_RATE_WEIGHT
+      this.#prefillRates.set(run.prefill, rate + (tokensPerMs - rate) * weight)
     }
     run.prefill = null
     this.placeWaiting()
@@ -179,7 +210,10 @@
     for (const { id, ...report } of reports) {
       const run = this.#runs.get(id)
       if (run === undefined) this.#runs.set(id, { ...report, prefill: null, reportedMs })
-      else Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
+      else {
+        this.#noteSpeed(run, report.madeTokens, reportedMs)
+        Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
+      }
     }
   }
 
@@ -192,7 +226,7 @@
       const impossible = this.#impossible(request)
       if (impossible === null && nowMs < expiresMs) continue
       this.#waiting.delete(id)
-      decide(impossible ?? { refusal: PlacementRefusal.Overloaded, retryAfterMs: this.#expectedWaitMs() })
+      decide(impossible ?? this.#refused(PlacementRefusal.Overloaded))
     }
   }
 
@@ -202,8 +236,9 @@
     if (nowMs < this.#learnsUntilMs) return
     const order = [...this.#waiting.values()].sort((a, b) => precedence(a, nowMs) - precedence(b, nowMs))
     const full = new Set<string>()
-    for (const { request, decide } of order) {
-      const placement = full.has(request.service) ? null : this.#place(request)
+    for (const waiting of order) {
+      const { request, decide } = waiting
+      const placement = full.has(request.service) ? null : this.#place(request, canBeOnTime(waiting, nowMs) ? 1 : LATE_PART)
       if (placement === null) {
         // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
         full.add(request.service)
@@ -223,8 +258,8 @@
     }
   }
 
-  #place (request: PlacementRequest): Placement | null {
-    const decode = this.#chooseDecode(request)
+  #place (request: PlacementRequest, part: number): Placement | null {
+    const decode = this.#chooseDecode(request, part)
     if (decode === null) return null
     const prefills = this.#usable(request.service, Stage.Prefill)
     if (prefills.length === 0) return { prefill: null, decode: decode.id }
@@ -232,12 +267,12 @@
     return prefill === null ? null : { prefill: prefill.id, decode: decode.id }
   }
 
-  #chooseDecode (request: PlacementRequest): Backend | null {
+  #chooseDecode (request: PlacementRequest, part: number): Backend | null {
     const engine = this.#options.engine(request.service)
     if (engine === null) return null
     const added: RunMemory = { heldTokens: request.promptTokens, remainingTokens: expectedRemaining(request.output, 0) }
     let best: Backend | null = null
-    let lowest = engine.memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL)
+    let lowest = engine.memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL) * part
     for (const backend of this.#usable(request.service, Stage.Decode)) {
       const runs = this.#runsOn(backend.id)
       // A run larger than the usual share may have an empty runner for itself.
@@ -278,7 +313,7 @@
 
   #usable (service: string, stage: Stage): Backend[] {
     const nowMs = this.#options.nowMs()
-    const ready = this.#options.backends.ready(service, stage)
+    const ready = this.#options.backends.ready(service, stage).filter(({ id }) => this.#options.isChanging?.(id) !== true)
     const rested = ready.filter(({ id }) => (this.#restUntilMs.get(id) ?? 0) <= nowMs)
     return rested.length > 0 ? rested : ready
   }
@@ -286,14 +321,56 @@
   #impossible (request: PlacementRequest): RefusedPlacement | null {
     const engine = this.#options.engine(request.service)
     if (engine === null || this.#options.backends.ready(request.service, Stage.Decode).length === 0) {
-      return { refusal: PlacementRefusal.NoRunner, retryAfterMs: FAILED_RUNNER_REST_MS }
+      return this.#refused(PlacementRefusal.NoRunner)
     }
-    if (request.promptTokens >= engine.memoryTokens) return { refusal: PlacementRefusal.TooLarge, retryAfterMs: FAILED_RUNNER_REST_MS }
+    if (request.promptTokens >= engine.memoryTokens) return this.#refused(PlacementRefusal.TooLarge)
     return null
   }
 
-  #expectedWaitMs (): number {
-    return FAILED_RUNNER_REST_MS
+  #refused (refusal: PlacementRefusal): RefusedPlacement {
+    return { refusal, retryAfterMs: RETURN_MS, waiting: this.#waiting.size, runs: this.#runs.size }
+  }
+
+  /** What the requests of a service have asked for lately; null while too few are known. */
+  mix (service: string): RequestMix | null {
+    const known = this.#mixes.get(service)
+    const engine = this.#options.engine(service)
+    if (known === undefined || engine === null || known.requests < MIX_REQUESTS) return null
+    const rates = this.#options.backends.ready(service, Stage.Prefill).map(({ id }) => this.#prefillRate(id))
+    return {
+      promptTokens: known.promptTokens,
+      outputTokens: known.outputTokens,
+      msPerToken: known.msPerToken,
+      prefillTokensPerMs: rates.length === 0 ? INITIAL_PREFILL_RATE : rates.reduce((sum, rate) => sum + rate, 0) / rates.length,
+      memoryTokens: engine.memoryTokens * MEMORY_FILL
+    }
+  }
+
+  /** Tokens of the runs and prompts on a runner. */
+  load ({ id }: Backend): number {
+    let tokens = 0
+    for (const run of this.#runs.values()) if (run.decode === id || run.prefill === id) tokens += run.promptTokens + run.madeTokens
+    return tokens
+  }
+
+  #noteRequest ({ service, promptTokens, output }: PlacementRequest): void {
+    const outputTokens = expectedRemaining(output, 0)
+    const known = this.#mixes.get(service)
+    if (known === undefined) {
+      this.#mixes.set(service, { requests: 1, promptTokens, outputTokens, msPerToken: INITIAL_MS_PER_TOKEN })
+      return
+    }
+    known.requests += 1
+    known.promptTokens += (promptTokens - known.promptTokens) * MIX_WEIGHT
+    known.outputTokens += (outputTokens - known.outputTokens) * MIX_WEIGHT
+  }
+
+  #noteSpeed (run: Run, madeTokens: number, nowMs: number): void {
+    const known = this.#mixes.get(run.service)
+    const made = madeTokens - run.madeTokens
+    const spanMs = nowMs - run.reportedMs
+    if (known === undefined || run.madeTokens === 0 || made <= 0 || spanMs < SPEED_SPAN_MS) return
+    known.msPerToken += (spanMs / made - known.msPerToken) * MIX_WEIGHT
   }
 
   /** Forgets what is known of runners that are gone. */
@@ -323,7 +400,10 @@
 }
 
 /** Requests that can still be on time go by their objective, late ones after them by their arrival. */
-function precedence ({ objectiveMs, arrivedMs }: Waiting, nowMs: number): number {
-  const canBeOnTime = objectiveMs - nowMs > FIRST_EVENT_MS
-  return canBeOnTime ? objectiveMs : Number.MAX_SAFE_INTEGER / 2 + arrivedMs
+function precedence (waiting: Waiting, nowMs: number): number {
+  return canBeOnTime(waiting, nowMs) ? waiting.objectiveMs : LATE_RANK + waiting.arrivedMs
+}
+
+function canBeOnTime ({ objectiveMs }: Waiting, nowMs: number): boolean {
+  return objectiveMs - nowMs > FIRST_EVENT_MS
 }
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -22,6 +22,9 @@
 /** Statuses from here on say that the server failed. */
 const FIRST_FAILURE_STATUS = 500
 
+/** Share of recent failures from which on a server's own failure is put down to the server; some requests fail wherever they run. */
+const FAULTY_SERVER_SHARE = 0.2
+
 interface WholeAnswer {
   head: ExchangeHead
   body: Buffer
@@ -53,6 +56,7 @@
     if (answered) forwarding.health.failed(backend, ExchangeOutcome.Failed)
     const reply: Reply = answered ? { outcome: ExchangeOutcome.Failed, detail: `status ${attempt.head.status}` } : attempt
     logFailedSend(forwarding, pending, backend, reply)
+    if (answered && forwarding.health.failureShare(backend) < FAULTY_SERVER_SHARE) break
     if (!takeAnotherSend(forwarding, pending, reply.outcome)) break
   }
   if (failure !== null) return passOn(pending, failure)
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -1,5 +1,6 @@
 import type { Backend } from './backend.js'
 import type { Configuration } from './configuration.js'
+import type { OrderRecord } from './order-authority.js'
 
 export enum StoreChangeKind {
   Configuration = 'configuration',
@@ -7,6 +8,8 @@
   BackendRemoved = 'backend-removed',
   Instance = 'instance',
   InstanceRemoved = 'instance-removed',
+  /** Who may give orders to the runners of a service. */
+  OrderRecord = 'order-record',
   /** An entry that can't be read; it names nothing to use. */
   Unreadable = 'unreadable'
 }
@@ -18,6 +21,7 @@
   | { kind: StoreChangeKind.BackendRemoved, id: string }
   | { kind: StoreChangeKind.Instance, ip: string }
   | { kind: StoreChangeKind.InstanceRemoved, ip: string }
+  | { kind: StoreChangeKind.OrderRecord, service: string, record: OrderRecord }
   | { kind: StoreChangeKind.Unreadable, key: string, detail: string }
 
 export interface StoreListing {
@@ -28,6 +32,8 @@
 export enum StoreFaultKind {
   /** The store gave no answer, or turned the call away. */
   Unreachable = 'unreachable',
+  /** A condition does not hold: somebody else wrote first. */
+  Conflict = 'conflict',
   /** The changes since the revision asked for are no longer kept. */
   HistoryLost = 'history-lost'
 }
@@ -45,6 +51,8 @@
   watch: (afterRevision: number, waitMs: number) => Promise<StoreListing | StoreFault>
   /** Makes this instance known to new ones. */
   announce: (ip: string) => Promise<StoreFault | null>
+  /** Writes the record of orders if it still has the revision known; the new revision is the order's fencing number. */
+  recordOrder: (service: string, holder: string, knownRevision: number) => Promise<{ revision: number } | StoreFault>
   withdraw: (ip: string) => Promise<StoreFault | null>
 }
 
--- /dev/null
+++ b/src/gateway/role-balance.ts
@@ -0,0 +1,58 @@
+import { type Backend, Stage } from './backend.js'
+
+/** A change of roles must raise the requests a second that the pools can serve together by this factor; it costs seconds of one runner. */
+const WORTHWHILE_GAIN = 1.15
+
+/** Share of a prefill runner's speed at which decode runners read prompts; their streams stand still meanwhile. */
+const DECODE_PREFILL_SPEED = 0.5
+
+/** What the requests of a service ask of its runners, on average. */
+export interface RequestMix {
+  promptTokens: number
+  outputTokens: number
+  /** Prompt tokens that a prefill runner reads in a millisecond. */
+  prefillTokensPerMs: number
+  /** Time that a decode runner takes for each token of a run, in milliseconds. */
+  msPerToken: number
+  /** Memory that runs may fill on a decode runner, in tokens. */
+  memoryTokens: number
+}
+
+export interface RoleChange {
+  backend: Backend
+  stage: Stage.Prefill | Stage.Decode
+}
+
+/** Requests a second that pools of these sizes can serve: each request needs both stages. */
+export function poolCapacity (prefill: number, decode: number, mix: RequestMix): number {
+  const promptMs = Math.max(1, mix.promptTokens) / mix.prefillTokensPerMs
+  const held = mix.promptTokens + mix.outputTokens / 2
+  const runMs = Math.max(1, mix.outputTokens * mix.msPerToken)
+  const decodePerMs = mix.memoryTokens / (held * runMs)
+  if (prefill > 0) return Math.min(prefill / promptMs, decode * decodePerMs) * MS_PER_SECOND
+  // Each prompt that a decode runner reads makes its runs longer, so they hold memory longer.
+  return decode * decodePerMs / (1 + decodePerMs * promptMs / DECODE_PREFILL_SPEED) * MS_PER_SECOND
+}
+
+const MS_PER_SECOND = 1000
+
+/** The next change of a runner's role towards the split that serves the mix best; null if the present one is good enough. */
+export function bestRoleChange (runners: Backend[], mix: RequestMix, load: (backend: Backend) => number): RoleChange | null {
+  const prefill = runners.filter(({ stage }) => stage === Stage.Prefill)
+  const decode = runners.filter(({ stage }) => stage === Stage.Decode)
+  const total = prefill.length + decode.length
+  let best = prefill.length
+  let bestCapacity = poolCapacity(prefill.length, decode.length, mix) * WORTHWHILE_GAIN
+  // A pool is never emptied on purpose: prompts read beside streams make them pause.
+  for (let count = 1; count < total; count += 1) {
+    const capacity = poolCapacity(count, total - count, mix)
+    if (capacity <= bestCapacity) continue
+    best = count
+    bestCapacity = capacity
+  }
+  if (best === prefill.length) return null
+  const stage = best < prefill.length ? Stage.Decode : Stage.Prefill
+  const from = stage === Stage.Decode ? prefill : decode
+  const backend = from.toSorted((a, b) => load(a) - load(b))[0]
+  return backend === undefined ? null : { backend, stage }
+}
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -72,6 +72,8 @@
       request: pending.request.id,
       route: pending.route.name,
       reason: decision.refusal,
+      waiting: decision.waiting,
+      runs: decision.runs,
       ageMs: Math.round(pending.ageMs()),
       retryAfterMs: Math.round(decision.retryAfterMs)
     })
@@ -133,6 +135,8 @@
     }
     if (pending.ended) return null
     logFailedSend(this.#forwarding, pending, prefill, reply)
+    // The first accepted prefill is no repeat; one that failed is, together with the send that follows.
+    if (reply.outcome !== ExchangeOutcome.NotSent) this.#forwarding.repeats.add(pending.service)
     placing.failed(pending.service, prefill.id)
     return null
   }
--- /dev/null
+++ b/test/gateway/role-balance.test.ts
@@ -0,0 +1,42 @@
+import { describe, expect, test } from '@jest/globals'
+import { type Backend, Stage } from '../../src/gateway/backend.js'
+import { bestRoleChange, poolCapacity } from '../../src/gateway/role-balance.js'
+import { backend } from './gateway-fixtures.js'
+
+/** Long prompts and answers of about the same length, as on the users' sites. */
+const longAnswers = { promptTokens: 5200, outputTokens: 5100, prefillTokensPerMs: 50, msPerToken: 0.85, memoryTokens: 95_000 }
+const longPrompts = { ...longAnswers, promptTokens: 9000, outputTokens: 500 }
+
+function runners (prefill: number, decode: number): Backend[] {
+  const named = (count: number, stage: Stage): Backend[] => Array.from({ length: count }, (_, index) => backend({ id: `${stage}${index}`, stage }))
+  return [...named(prefill, Stage.Prefill), ...named(decode, Stage.Decode)]
+}
+
+function next (prefill: number, decode: number, mix = longAnswers): string {
+  const change = bestRoleChange(runners(prefill, decode), mix, ({ id }) => id.endsWith('1') ? 0 : 1)
+  return change === null ? 'none' : `${change.backend.id} to ${change.stage}`
+}
+
+describe('bestRoleChange', () => {
+  test.each([
+    ['as many prefill as decode runners for long answers', 3, 3, 'prefill1 to decode'],
+    ['the split that serves most', 2, 4, 'none'],
+    ['a difference too small for seconds without a runner', 1, 4, 'none'],
+    ['decode runners lost to a scale-in', 3, 1, 'prefill1 to decode'],
+    ['no decode runner left', 3, 0, 'prefill1 to decode'],
+    ['a single runner of each', 1, 1, 'none'],
+    ['no runner at all', 0, 0, 'none']
+  ])('%s', (_name, prefill, decode, expected) => {
+    expect(next(prefill, decode)).toBe(expected)
+  })
+
+  test('traffic that shifts to long prompts takes decode runners for prefill', () => {
+    expect(next(1, 5, longPrompts)).toBe('decode1 to prefill')
+  })
+})
+
+test('a split serves what its weaker pool serves', () => {
+  const capacities = [0, 1, 2, 3, 4, 5].map((prefill) => poolCapacity(prefill, 6 - prefill, longAnswers))
+  expect(Math.max(...capacities)).toBe(capacities[2])
+  expect(poolCapacity(6, 0, longAnswers)).toBe(0)
+})
--- /dev/null
+++ b/test/gateway/role-orders.test.ts
@@ -0,0 +1,108 @@
+import { describe, expect, test } from '@jest/globals'
+import { type Backend, Stage } from '../../src/gateway/backend.js'
+import { BackendTable } from '../../src/gateway/backend-table.js'
+import { OrderAuthority } from '../../src/gateway/order-authority.js'
+import { type PlatformStore, StoreFaultKind } from '../../src/gateway/platform-store.js'
+import { RoleOrders } from '../../src/gateway/role-orders.js'
+import { backend, recordingLog, ScriptedCalls } from './gateway-fixtures.js'
+
+const mix = { promptTokens: 5200, outputTokens: 5100, prefillTokensPerMs: 50, msPerToken: 0.85, memoryTokens: 95_000 }
+const TURN_MS = 3000
+
+/** A store with one record; `delayMs` passes on the caller's clock before a write is answered. */
+class RecordStore {
+  record: { holder: string, revision: number } | null = null
+  delayMs = 0
+
+  write (clock: { ms: number }): PlatformStore['recordOrder'] {
+    return (_service, holder, knownRevision) => {
+      clock.ms += this.delayMs
+      if ((this.record?.revision ?? 0) !== knownRevision) return Promise.resolve({ kind: StoreFaultKind.Conflict, detail: 'changed' })
+      this.record = { holder, revision: (this.record?.revision ?? 40) + 1 }
+      return Promise.resolve({ revision: this.record.revision })
+    }
+  }
+}
+
+interface Fixture {
+  roles: RoleOrders
+  authority: OrderAuthority
+  calls: ScriptedCalls
+  clock: { ms: number }
+  backends: BackendTable
+  /** Lets time pass with a look every half second. */
+  pass: (ms: number) => Promise<void>
+}
+
+function instance (holder: string, store: RecordStore): Fixture {
+  const clock = { ms: 0 }
+  const nowMs = (): number => clock.ms
+  const log = recordingLog()
+  const backends = new BackendTable({ nowMs })
+  const runner = (id: string, stage: Stage): Backend => backend({ id, service: 'model', stage })
+  for (const id of ['p1', 'p2', 'p3']) backends.put(runner(id, Stage.Prefill))
+  for (const id of ['d1', 'd2', 'd3']) backends.put(runner(id, Stage.Decode))
+  const calls = new ScriptedCalls(() => 'silent')
+  const authority = new OrderAuthority({ store: { recordOrder: store.write(clock) } as PlatformStore, holder, turnMs: TURN_MS, log, nowMs })
+  const roles = new RoleOrders({ backends, calls, authority, holder, mix: () => mix, load: () => 0, log, nowMs })
+  const pass = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 500) {
+      clock.ms += 500
+      await roles.consider('model')
+    }
+  }
+  return { roles, authority, calls, clock, backends, pass }
+}
+
+describe('RoleOrders', () => {
+  test('gives one order when the runners have been the same for a while, and no other before it has taken effect', async () => {
+    const { calls, pass, roles, backends } = instance('a', new RecordStore())
+    await pass(3500)
+    expect(calls.orders).toEqual([])
+    await pass(6000)
+    expect(calls.orders).toMatchObject([{ backend: { id: 'p1' }, stage: 'decode', holder: 'a', fencingNumber: 41 }])
+    expect(roles.isChanging('p1')).toBe(true)
+    backends.put(backend({ id: 'p1', service: 'model', stage: Stage.Decode }))
+    await pass(8000)
+    expect(roles.isChanging('p1')).toBe(false)
+    expect(calls.orders).toHaveLength(1)
+  })
+
+  test('asks again some time after an order without an answer, with a higher number', async () => {
+    const { calls, pass } = instance('a', new RecordStore())
+    calls.orderOutcome = 'unknown'
+    await pass(15_000)
+    expect(calls.orders.length).toBeGreaterThan(1)
+    const numbers = calls.orders.map(({ fencingNumber }) => fencingNumber)
+    expect(numbers).toEqual(numbers.toSorted((a, b) => a - b))
+    expect(new Set(numbers).size).toBe(numbers.length)
+  })
+
+  test('another instance gives no order while the first may still give one, and never one with a lower number', async () => {
+    const store = new RecordStore()
+    const first = instance('a', store)
+    const second = instance('b', store)
+    await first.pass(5000)
+    second.authority.see('model', { holder: 'a', revision: 41 })
+    await second.pass(4000)
+    expect(second.calls.orders).toEqual([])
+    await second.pass(3000)
+    expect(second.calls.orders).toMatchObject([{ holder: 'b', fencingNumber: 42 }])
+  })
+
+  test('an instance that has not seen the newest record gets no number', async () => {
+    const store = new RecordStore()
+    await instance('a', store).pass(5000)
+    const stale = instance('b', store)
+    await stale.pass(6000)
+    expect(stale.calls.orders).toEqual([])
+  })
+
+  test('an instance that was held up after it asked gives no order with the number', async () => {
+    const store = new RecordStore()
+    store.delayMs = 900
+    const { calls, pass } = instance('a', store)
+    await pass(5000)
+    expect(calls.orders).toEqual([])
+  })
+})
--- a/test/gateway/store-follower.test.ts
+++ b/test/gateway/store-follower.test.ts
@@ -26,6 +26,7 @@
       announced += 1
       return Promise.resolve(null)
     },
+    recordOrder: () => Promise.resolve({ revision: 1 }),
     withdraw: () => Promise.resolve(null)
   }
   const log = recordingLog()
