--- a/src/gateway/backend-port.ts
+++ b/src/gateway/backend-port.ts
@@ -44,6 +44,15 @@
   stage: Stage.Prefill | Stage.Decode
   holder: string
   fencingNumber: number
+  /** Orders that the runner had accepted before; with another number it refuses, so that an order carried out late undoes nothing newer. */
+  ordersBefore: number
+}
+
+/** What a runner says of its orders, some hundred milliseconds late. */
+export interface RunnerReport {
+  /** Orders accepted since its start. */
+  ordersAccepted: number
+  orderInProgress: boolean
 }
 
 /** What is known of an order: accepted or already in force, surely refused, or neither. */
@@ -55,6 +64,8 @@
   meaningOf: (dispatch: Dispatch, head: ExchangeHead) => HeadMeaning
   /** Decodes the answer to a prefill; null if it is not one. */
   promptHandle: (backend: Backend, body: Buffer) => PromptHandle | null
+  /** Null if the runner does not answer. */
+  inspect: (backend: Backend) => Promise<RunnerReport | null>
   order: (order: RoleOrder) => Promise<OrderOutcome>
   /** Frees prompt memory that will not be used. */
   freePrompt: (handle: PromptHandle) => void
--- a/src/gateway/backend.ts
+++ b/src/gateway/backend.ts
@@ -21,8 +21,6 @@
   state: BackendState
   stage: Stage
   slots: number
-  /** Orders that the server has accepted since its start. */
-  ordersAccepted: number
   /** Unix millisecond of the start; tells a restart under the same id. */
   startedAtMs: number
 }
--- a/src/gateway/role-orders.ts
+++ b/src/gateway/role-orders.ts
@@ -74,10 +74,12 @@
 
   async #order (service: string, backend: Backend, stage: Stage.Prefill | Stage.Decode, mix: RequestMix): Promise<void> {
     const { authority, calls, holder, log, nowMs } = this.#options
+    const report = await calls.inspect(backend)
+    if (report === null || report.orderInProgress) return
     const fencingNumber = await authority.grant(service)
     if (fencingNumber === null) return
     this.#changing.set(backend.id, { stage, untilMs: nowMs() + ORDER_LIFETIME_MS })
-    const outcome = await calls.order({ backend, stage, holder, fencingNumber })
+    const outcome = await calls.order({ backend, stage, holder, fencingNumber, ordersBefore: report.ordersAccepted })
     log.info('role.ordered', {
       server: backend.id,
       service,
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { PassThrough } from 'node:stream'
 import { type Backend, BackendState, Stage } from '../../src/gateway/backend.js'
-import { type BackendPort, type Dispatch, HeadMeaning, type OrderOutcome, type PromptHandle, type RoleOrder } from '../../src/gateway/backend-port.js'
+import { type BackendPort, type Dispatch, HeadMeaning, type OrderOutcome, type PromptHandle, type RoleOrder, type RunnerReport } from '../../src/gateway/backend-port.js'
 import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
 import { type Configuration, type Route, RouteKind } from '../../src/gateway/configuration.js'
 import type { Exchange, ExchangeFailure, ExchangeHead } from '../../src/gateway/http-exchange.js'
@@ -10,7 +10,7 @@
 import type { Log } from '../../src/logs/log.js'
 
 export function backend (options: Partial<Backend> = {}): Backend {
-  return { id: 'b1', service: 'plain', address: '10.0.0.1:80', failureDomain: 'a', state: BackendState.Ready, stage: Stage.None, slots: 6, ordersAccepted: 0, startedAtMs: 1, ...options }
+  return { id: 'b1', service: 'plain', address: '10.0.0.1:80', failureDomain: 'a', state: BackendState.Ready, stage: Stage.None, slots: 6, startedAtMs: 1, ...options }
 }
 
 export function route (options: Partial<Route> = {}): Route {
@@ -124,6 +124,10 @@
   readonly orders: RoleOrder[] = []
   orderOutcome: OrderOutcome = 'accepted'
 
+  report: RunnerReport | null = { ordersAccepted: 3, orderInProgress: false }
+
+  inspect (): Promise<RunnerReport | null> { return Promise.resolve(this.report) }
+
   order (order: RoleOrder): Promise<OrderOutcome> {
     this.orders.push(order)
     return Promise.resolve(this.orderOutcome)
