--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -17,6 +17,10 @@
   storeAddress: address.describe('The platform\'s store'),
   seeds: z.array(z.string()).default([]).describe('IP numbers of instances to contact first'),
   configurationApplyMs: z.number().positive().default(2000).describe('Time in which an accepted configuration must be in force, in milliseconds'),
+  expectedRequest: z.object({
+    promptTokens: z.number().positive().default(5200).describe('Tokens of a usual prompt'),
+    outputTokens: z.number().positive().default(5100).describe('Tokens of a usual answer')
+  }).prefault({}).describe('What requests to models usually ask for, until an instance has seen some; the default is the users\' sheets'),
   orderTurnMs: z.number().positive().default(3000).describe('Time within which two instances may not both give orders to a runner, in milliseconds'),
   graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
   addressLifetimeS: z.number().positive().default(2).describe('How long callers may keep an answer of the directory, in seconds'),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -73,7 +73,7 @@
     for (const ip of settings.seeds) this.instances.name(ip)
     this.#health = new ServerHealth({ nowMs })
     const engine = (service: string): Engine | null => this.#routes?.service(service)?.engine ?? null
-    this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine, isChanging: (id) => this.#roles.isChanging(id) })
+    this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine, expected: settings.expectedRequest, isChanging: (id) => this.#roles.isChanging(id) })
     this.orders = new OrderAuthority({ store: options.store, holder: settings.id, turnMs: settings.orderTurnMs, log, nowMs })
     this.#roles = new RoleOrders({
       backends: this.backends,
@@ -85,7 +85,7 @@
       log,
       nowMs
     })
-    this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, fill: () => MEMORY_FILL / this.instances.servingCount() })
+    this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, expected: settings.expectedRequest, fill: () => MEMORY_FILL / this.instances.servingCount() })
     this.#placing = new PlacementClient({
       ip: settings.ip,
       failureDomain: settings.failureDomain,
--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -6,10 +6,10 @@
 import type { RequestMix } from './role-balance.js'
 
 /** Share of a decode runner's memory that forecasts may fill; the rest absorbs runs longer than expected. */
-export const MEMORY_FILL = 0.88
+export const MEMORY_FILL = 0.97
 
 /** Part of that share which requests may fill that are late already, so that they don't keep out those that can still be on time. */
-const LATE_PART = 0.8
+const LATE_PART = 0.9
 
 /** Prompt tokens that may wait at one prefill runner, in milliseconds of its work: enough to keep it busy, few enough to keep the order here. */
 const PREFILL_BACKLOG_MS = 200
@@ -17,9 +17,8 @@
 /** Prompt tokens a prefill runner reads in a millisecond until answers have shown it. */
 const INITIAL_PREFILL_RATE = 45
 
-/** Weights of one more measured prefill rate: waiting makes rates look low, so high ones count for more. */
-const HIGHER_RATE_WEIGHT = 0.5
-const LOWER_RATE_WEIGHT = 0.02
+/** Factor by which one more measured prefill moves the rate towards it; prompts that were cached or held up give rates far off, which must not count for more. */
+const RATE_STEP = 1.04
 
 /** Weight of one more request in the averages of prompts, outputs and speeds. */
 const MIX_WEIGHT = 0.05
@@ -28,7 +27,7 @@
 const MIX_REQUESTS = 20
 
 /** Time for each token of a run until reports have shown it, in milliseconds. */
-const INITIAL_MS_PER_TOKEN = 0.9
+const INITIAL_MS_PER_TOKEN = 0.75
 
 /** Shortest time between two reports from which a speed is taken, in milliseconds. */
 const SPEED_SPAN_MS = 100
@@ -36,8 +35,8 @@
 /** Runs of an instance that has not reported for this long are taken to be gone, in milliseconds; reports come several times in it. */
 const REPORT_LIFETIME_MS = 2500
 
-/** Time between the placement and the first event besides prefill, in milliseconds. */
-const FIRST_EVENT_MS = 150
+/** Time between the placement and the first event besides prefill, in milliseconds: two hops, the transfer of memory and the first event's tokens. */
+const FIRST_EVENT_MS = 120
 
 /** A runner that failed a request is passed over for this long, in milliseconds. */
 const FAILED_RUNNER_REST_MS = 1500
@@ -102,6 +101,8 @@
   service: string
   decode: string
   prefill: string | null
+  /** Prompt tokens that waited at the prefill runner before this one. */
+  tokensAhead: number
   promptTokens: number
   output: OutputLength
   madeTokens: number
@@ -120,6 +121,8 @@
   nowMs: () => number
   backends: BackendTable
   engine: (service: string) => Engine | null
+  /** The mix assumed of a service until enough requests are known. */
+  expected: { promptTokens: number, outputTokens: number }
   /** Whether a runner is changing its role. */
   isChanging?: (id: string) => boolean
   /** Share of each decode runner's memory that this desk may fill. */
@@ -192,8 +195,9 @@
     if (run === undefined || run.prefill === null) return
     if (tokensPerMs !== null) {
       const rate = this.#prefillRate(run.prefill)
-      const weight = tokensPerMs > rate ? HIGHER_RATE_WEIGHT : LOWER_RATE_WEIGHT
-      this.#prefillRates.set(run.prefill, rate + (tokensPerMs - rate) * weight)
+      // The runner read the prompts before this one in the same time.
+      const measured = tokensPerMs * (run.promptTokens + run.tokensAhead) / Math.max(1, run.promptTokens)
+      this.#prefillRates.set(run.prefill, measured > rate ? rate * RATE_STEP : rate / RATE_STEP)
     }
     run.prefill = null
     this.placeWaiting()
@@ -209,7 +213,7 @@
     const reportedMs = this.#options.nowMs()
     for (const { id, ...report } of reports) {
       const run = this.#runs.get(id)
-      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, reportedMs })
+      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, tokensAhead: 0, reportedMs })
       else {
         this.#noteSpeed(run, report.madeTokens, reportedMs)
         Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
@@ -234,11 +238,12 @@
   placeWaiting (): void {
     const nowMs = this.#options.nowMs()
     if (nowMs < this.#learnsUntilMs) return
-    const order = [...this.#waiting.values()].sort((a, b) => precedence(a, nowMs) - precedence(b, nowMs))
+    if (this.#waiting.size === 0) return
+    const ranked = [...this.#waiting.values()].map((waiting) => ({ waiting, onTime: this.#canBeOnTime(waiting, nowMs) }))
+    const order = ranked.sort((a, b) => precedence(a) - precedence(b))
     const full = new Set<string>()
-    for (const waiting of order) {
-      const { request, decide } = waiting
-      const placement = full.has(request.service) ? null : this.#place(request, canBeOnTime(waiting, nowMs) ? 1 : LATE_PART)
+    for (const { waiting: { request, decide }, onTime } of order) {
+      const placement = full.has(request.service) ? null : this.#place(request, onTime ? 1 : LATE_PART)
       if (placement === null) {
         // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
         full.add(request.service)
@@ -249,6 +254,7 @@
         service: request.service,
         decode: placement.decode,
         prefill: placement.prefill,
+        tokensAhead: placement.prefill === null ? 0 : this.#prefillBacklog(placement.prefill),
         promptTokens: request.promptTokens,
         output: request.output,
         madeTokens: 0,
@@ -293,9 +299,13 @@
   }
 
   #prefillBacklogMs (id: string): number {
+    return this.#prefillBacklog(id) / this.#prefillRate(id)
+  }
+
+  #prefillBacklog (id: string): number {
     let tokens = 0
     for (const run of this.#runs.values()) if (run.prefill === id) tokens += run.promptTokens
-    return tokens / this.#prefillRate(id)
+    return tokens
   }
 
   #prefillRate (id: string): number {
@@ -311,6 +321,13 @@
     return runs
   }
 
+  /** Whether the first event can come before the objective if the request is placed now. */
+  #canBeOnTime ({ request, objectiveMs }: Waiting, nowMs: number): boolean {
+    const waits = this.#usable(request.service, Stage.Prefill).map(({ id }) => (this.#prefillBacklog(id) + request.promptTokens) / this.#prefillRate(id))
+    const prefillMs = waits.length === 0 ? request.promptTokens / (INITIAL_PREFILL_RATE / 2) : Math.min(...waits)
+    return objectiveMs - nowMs > prefillMs + FIRST_EVENT_MS
+  }
+
   #usable (service: string, stage: Stage): Backend[] {
     const nowMs = this.#options.nowMs()
     const ready = this.#options.backends.ready(service, stage).filter(({ id }) => this.#options.isChanging?.(id) !== true)
@@ -331,16 +348,18 @@
     return { refusal, retryAfterMs: RETURN_MS, waiting: this.#waiting.size, runs: this.#runs.size }
   }
 
-  /** What the requests of a service have asked for lately; null while too few are known. */
+  /** What the requests of a service have asked for lately, or are expected to; null for a plain service. */
   mix (service: string): RequestMix | null {
     const known = this.#mixes.get(service)
     const engine = this.#options.engine(service)
-    if (known === undefined || engine === null || known.requests < MIX_REQUESTS) return null
+    if (engine === null) return null
+    const enough = known !== undefined && known.requests >= MIX_REQUESTS
+    const { promptTokens, outputTokens } = enough ? known : this.#options.expected
     const rates = this.#options.backends.ready(service, Stage.Prefill).map(({ id }) => this.#prefillRate(id))
     return {
-      promptTokens: known.promptTokens,
-      outputTokens: known.outputTokens,
-      msPerToken: known.msPerToken,
+      promptTokens,
+      outputTokens,
+      msPerToken: known?.msPerToken ?? INITIAL_MS_PER_TOKEN,
       prefillTokensPerMs: rates.length === 0 ? INITIAL_PREFILL_RATE : rates.reduce((sum, rate) => sum + rate, 0) / rates.length,
       memoryTokens: engine.memoryTokens * MEMORY_FILL
     }
@@ -400,10 +419,6 @@
 }
 
 /** Requests that can still be on time go by their objective, late ones after them by their arrival. */
-function precedence (waiting: Waiting, nowMs: number): number {
-  return canBeOnTime(waiting, nowMs) ? waiting.objectiveMs : LATE_RANK + waiting.arrivedMs
-}
-
-function canBeOnTime ({ objectiveMs }: Waiting, nowMs: number): boolean {
-  return objectiveMs - nowMs > FIRST_EVENT_MS
+function precedence ({ waiting, onTime }: { waiting: Waiting, onTime: boolean }): number {
+  return onTime ? waiting.objectiveMs : LATE_RANK + waiting.arrivedMs
 }
--- a/src/gateway/role-orders.ts
+++ b/src/gateway/role-orders.ts
@@ -6,7 +6,7 @@
 import { bestRoleChange, type RequestMix } from './role-balance.js'
 
 /** The set of runners must be unchanged for this long before one is given another role, in milliseconds: a crashed runner is often back sooner. */
-const STEADY_MS = 4000
+const STEADY_MS = 3000
 
 /** Time between decisions on a service, in milliseconds. */
 const DECIDE_EACH_MS = 1000
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -202,6 +202,7 @@
       }
       message.on('data', (chunk: Buffer) => {
         watch()
+        if (pending.notes.firstEventMs === undefined) pending.note({ firstEventMs: Math.round(pending.ageMs()) })
         const whole = this.#events.push(chunk)
         placing.progress(pending.request.id, this.#events.lastId)
         const bytes = route.resumable ? whole : chunk
