Withdraw a second question to the keeper, keep the desk of a live keeper, let decode runners help to read prompts

Also, two decode runners were turned back to prefill (24 s and 20 s) because the prefill rate was measured too low and decode runners were not expected to help. Ruled out: a blocked keeper (its lines go on). Tests: placement-client, role-balance. The expectation that a split serves no more than its weaker pool is replaced by bounds from both pools, as decode runners now read prompts beyond what prefill runners can.

--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -3,6 +3,9 @@
 /** An instance counts as live for this long after it was heard, in milliseconds; four heartbeats at the usual period. */
 export const LIVENESS_MS = 2000
 
+/** An instance that does not answer is dead if it was not heard for this long, in milliseconds: more than two heartbeats are missing. */
+export const SUSPICION_MS = 1100
+
 /** An instance that left no sign for this long is forgotten, in milliseconds. */
 const FORGET_MS = 30000
 
@@ -56,10 +59,13 @@
     this.#peers.set(status.ip, { status, heardMs: nowMs, namedMs: nowMs })
   }
 
-  /** Takes an instance for dead until it is heard again. */
-  suspect (ip: string): void {
+  /** Takes an instance that does not answer for dead if its heartbeats are missing too; returns whether it is. */
+  suspect (ip: string): boolean {
     const peer = this.#peers.get(ip)
-    if (peer !== undefined) peer.heardMs = -Infinity
+    if (peer === undefined) return true
+    if (this.#options.nowMs() - peer.heardMs < SUSPICION_MS) return false
+    peer.heardMs = -Infinity
+    return true
   }
 
   /** Addresses that heartbeats go to. */
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -88,8 +88,10 @@
         ? await this.#askDesk(this.#options.desk, request, pending)
         : await this.#askKeeper(keeper, request, pending)
       if (decision !== null) return this.#taken(pending, request, keeper, decision)
-      this.#options.instances.suspect(keeper)
-      this.#options.log.warn('keeper.silent', { keeper, request: request.id, service: request.service })
+      const dead = this.#options.instances.suspect(keeper)
+      this.#options.log.warn('keeper.silent', { keeper, dead, request: request.id, service: request.service })
+      // Another keeper would not know the runs of one that lives.
+      if (!dead) break
     }
     const decision = await this.#askDesk(this.#options.ownDesk, request, pending)
     return this.#taken(pending, request, this.#options.ip, decision)
@@ -166,13 +168,17 @@
   #askKeeper (keeper: string, request: PlacementRequest, pending: PendingRequest): Promise<Decision | null> {
     return new Promise((resolve) => {
       let unanswered = 0
+      let settled = false
       let timer: NodeJS.Timeout | undefined
       const settle = (decision: Decision | null): void => {
+        if (settled) return
+        settled = true
         clearTimeout(timer)
         this.#asking.delete(request.id)
         resolve(decision)
       }
       const ask = (): void => {
+        if (settled) return
         if (unanswered >= MAX_UNANSWERED) return settle(null)
         unanswered += 1
         this.#options.send(keeper, { kind: PeerDatagramKind.Place, request })
@@ -187,7 +193,7 @@
         }
       })
       pending.onStop(() => {
-        if (!this.#asking.has(request.id)) return
+        if (settled) return
         this.#options.send(keeper, { kind: PeerDatagramKind.Release, id: request.id })
         settle(CALLER_LEFT)
       })
--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -11,11 +11,17 @@
 /** Part of that share which requests may fill that are late already, so that they don't keep out those that can still be on time. */
 const LATE_PART = 0.9
 
-/** Prompt tokens that may wait at one prefill runner, in milliseconds of its work: enough to keep it busy, few enough to keep the order here. */
-const PREFILL_BACKLOG_MS = 200
+/** Work that may wait at a prefill runner, in milliseconds: enough to keep it busy until the next prompt arrives, little enough to keep the order here. */
+const PREFILL_BACKLOG_MS = 50
+
+/** A decode runner reads a prompt itself when every prefill runner is busy for longer than this, in milliseconds, and the request would otherwise be late. */
+const SELF_READ_BACKLOG_MS = 30
+
+/** Requests that wait for each prefill runner before decode runners help to read prompts. */
+const SELF_READ_WAITING = 2
 
 /** Prompt tokens a prefill runner reads in a millisecond until answers have shown it. */
-const INITIAL_PREFILL_RATE = 45
+const INITIAL_PREFILL_RATE = 50
 
 /** Factor by which one more measured prefill moves the rate towards it; prompts that were cached or held up give rates far off, which must not count for more. */
 const RATE_STEP = 1.04
@@ -101,8 +107,10 @@
   service: string
   decode: string
   prefill: string | null
-  /** Prompt tokens that waited at the prefill runner before this one. */
-  tokensAhead: number
+  /** When the prefill runner began with this prompt, as far as is known. */
+  prefillStartMs: number
+  /** Reads its prompt at the decode runner and has made nothing yet. */
+  selfReads: boolean
   promptTokens: number
   output: OutputLength
   madeTokens: number
@@ -195,11 +203,12 @@
     if (run === undefined || run.prefill === null) return
     if (tokensPerMs !== null) {
       const rate = this.#prefillRate(run.prefill)
-      // The runner read the prompts before this one in the same time.
-      const measured = tokensPerMs * (run.promptTokens + run.tokensAhead) / Math.max(1, run.promptTokens)
+      const measured = run.promptTokens / Math.max(1, this.#options.nowMs() - run.prefillStartMs)
       this.#prefillRates.set(run.prefill, measured > rate ? rate * RATE_STEP : rate / RATE_STEP)
     }
+    const prefill = run.prefill
     run.prefill = null
+    this.#startNextPrefill(prefill)
     this.placeWaiting()
   }
 
@@ -213,10 +222,10 @@
     const reportedMs = this.#options.nowMs()
     for (const { id, ...report } of reports) {
       const run = this.#runs.get(id)
-      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, tokensAhead: 0, reportedMs })
+      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, prefillStartMs: 0, selfReads: false, reportedMs })
       else {
         this.#noteSpeed(run, report.madeTokens, reportedMs)
-        Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
+        Object.assign(run, { madeTokens: report.madeTokens, selfReads: run.selfReads && report.madeTokens === 0, reportedMs })
       }
     }
   }
@@ -254,7 +263,8 @@
         service: request.service,
         decode: placement.decode,
         prefill: placement.prefill,
-        tokensAhead: placement.prefill === null ? 0 : this.#prefillBacklog(placement.prefill),
+        prefillStartMs: nowMs + (placement.prefill === null ? 0 : this.#prefillBacklogMs(placement.prefill)),
+        selfReads: placement.prefill === null,
         promptTokens: request.promptTokens,
         output: request.output,
         madeTokens: 0,
@@ -270,7 +280,8 @@
     const prefills = this.#usable(request.service, Stage.Prefill)
     if (prefills.length === 0) return { prefill: null, decode: decode.id }
     const prefill = this.#choosePrefill(prefills, decode)
-    return prefill === null ? null : { prefill: prefill.id, decode: decode.id }
+    if (prefill !== null) return { prefill: prefill.id, decode: decode.id }
+    return this.#shouldSelfRead(request, prefills, decode) ? { prefill: null, decode: decode.id } : null
   }
 
   #chooseDecode (request: PlacementRequest, part: number): Backend | null {
@@ -290,6 +301,14 @@
     return best
   }
 
+  /** Prompts read beside streams slow these down, so a runner reads one at a time and only while prefill runners can't keep up. */
+  #shouldSelfRead (request: PlacementRequest, prefills: Backend[], decode: Backend): boolean {
+    if (prefills.some(({ id }) => this.#prefillBacklogMs(id) < SELF_READ_BACKLOG_MS)) return false
+    if (this.#waiting.size < prefills.length * SELF_READ_WAITING) return false
+    for (const run of this.#runs.values()) if (run.decode === decode.id && run.selfReads) return false
+    return request.promptTokens > 0
+  }
+
   #choosePrefill (prefills: Backend[], decode: Backend): Backend | null {
     const ranked = prefills
       .map((backend) => ({ backend, backlogMs: this.#prefillBacklogMs(backend.id), far: backend.failureDomain === decode.failureDomain ? 0 : 1 }))
@@ -298,14 +317,23 @@
     return first === undefined || first.backlogMs > PREFILL_BACKLOG_MS ? null : first.backend
   }
 
+  /** Time until a prefill runner is expected to have read the prompts given to it. */
   #prefillBacklogMs (id: string): number {
-    return this.#prefillBacklog(id) / this.#prefillRate(id)
+    let endMs = this.#options.nowMs()
+    for (const run of this.#runs.values()) {
+      if (run.prefill === id) endMs = Math.max(endMs, run.prefillStartMs + run.promptTokens / this.#prefillRate(id))
+    }
+    return endMs - this.#options.nowMs()
   }
 
-  #prefillBacklog (id: string): number {
-    let tokens = 0
-    for (const run of this.#runs.values()) if (run.prefill === id) tokens += run.promptTokens
-    return tokens
+  /** The runner has finished a prompt: the earliest of the others is next now, whatever was expected. */
+  #startNextPrefill (id: string): void {
+    const waiting = [...this.#runs.values()].filter((run) => run.prefill === id).sort((a, b) => a.prefillStartMs - b.prefillStartMs)
+    let startMs = this.#options.nowMs()
+    for (const run of waiting) {
+      run.prefillStartMs = startMs
+      startMs += run.promptTokens / this.#prefillRate(id)
+    }
   }
 
   #prefillRate (id: string): number {
@@ -323,7 +351,7 @@
 
   /** Whether the first event can come before the objective if the request is placed now. */
   #canBeOnTime ({ request, objectiveMs }: Waiting, nowMs: number): boolean {
-    const waits = this.#usable(request.service, Stage.Prefill).map(({ id }) => (this.#prefillBacklog(id) + request.promptTokens) / this.#prefillRate(id))
+    const waits = this.#usable(request.service, Stage.Prefill).map(({ id }) => this.#prefillBacklogMs(id) + request.promptTokens / this.#prefillRate(id))
     const prefillMs = waits.length === 0 ? request.promptTokens / (INITIAL_PREFILL_RATE / 2) : Math.min(...waits)
     return objectiveMs - nowMs > prefillMs + FIRST_EVENT_MS
   }
--- a/src/gateway/role-balance.ts
+++ b/src/gateway/role-balance.ts
@@ -23,15 +23,18 @@
   stage: Stage.Prefill | Stage.Decode
 }
 
-/** Requests a second that pools of these sizes can serve: each request needs both stages. */
+/** Requests a second that pools of these sizes can serve. */
 export function poolCapacity (prefill: number, decode: number, mix: RequestMix): number {
+  if (decode === 0) return 0
   const promptMs = Math.max(1, mix.promptTokens) / mix.prefillTokensPerMs
   const held = mix.promptTokens + mix.outputTokens / 2
   const runMs = Math.max(1, mix.outputTokens * mix.msPerToken)
-  const decodePerMs = mix.memoryTokens / (held * runMs)
-  if (prefill > 0) return Math.min(prefill / promptMs, decode * decodePerMs) * MS_PER_SECOND
-  // Each prompt that a decode runner reads makes its runs longer, so they hold memory longer.
-  return decode * decodePerMs / (1 + decodePerMs * promptMs / DECODE_PREFILL_SPEED) * MS_PER_SECOND
+  const decodePerMs = decode * mix.memoryTokens / (held * runMs)
+  const prefillPerMs = prefill / promptMs
+  if (decodePerMs <= prefillPerMs) return decodePerMs * MS_PER_SECOND
+  // Decode runners read the prompts beyond what the prefill pool can: the time makes their runs longer, so they hold memory longer.
+  const stallMs = promptMs / DECODE_PREFILL_SPEED / decode
+  return decodePerMs * (1 + prefillPerMs * stallMs) / (1 + decodePerMs * stallMs) * MS_PER_SECOND
 }
 
 const MS_PER_SECOND = 1000
