--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -12,13 +12,7 @@
 const LATE_PART = 0.9
 
 /** Work that may wait at a prefill runner, in milliseconds: enough to keep it busy until the next prompt arrives, little enough to keep the order here. */
-const PREFILL_BACKLOG_MS = 50
-
-/** A decode runner reads a prompt itself when every prefill runner is busy for longer than this, in milliseconds, and the request would otherwise be late. */
-const SELF_READ_BACKLOG_MS = 30
-
-/** Requests that wait for each prefill runner before decode runners help to read prompts. */
-const SELF_READ_WAITING = 2
+const PREFILL_BACKLOG_MS = 120
 
 /** Prompt tokens a prefill runner reads in a millisecond until answers have shown it. */
 const INITIAL_PREFILL_RATE = 50
@@ -109,8 +103,6 @@
   prefill: string | null
   /** When the prefill runner began with this prompt, as far as is known. */
   prefillStartMs: number
-  /** Reads its prompt at the decode runner and has made nothing yet. */
-  selfReads: boolean
   promptTokens: number
   output: OutputLength
   madeTokens: number
@@ -222,10 +214,10 @@
     const reportedMs = this.#options.nowMs()
     for (const { id, ...report } of reports) {
       const run = this.#runs.get(id)
-      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, prefillStartMs: 0, selfReads: false, reportedMs })
+      if (run === undefined) this.#runs.set(id, { ...report, prefill: null, prefillStartMs: 0, reportedMs })
       else {
         this.#noteSpeed(run, report.madeTokens, reportedMs)
-        Object.assign(run, { madeTokens: report.madeTokens, selfReads: run.selfReads && report.madeTokens === 0, reportedMs })
+        Object.assign(run, { madeTokens: report.madeTokens, reportedMs })
       }
     }
   }
@@ -264,7 +256,6 @@
         decode: placement.decode,
         prefill: placement.prefill,
         prefillStartMs: nowMs + (placement.prefill === null ? 0 : this.#prefillBacklogMs(placement.prefill)),
-        selfReads: placement.prefill === null,
         promptTokens: request.promptTokens,
         output: request.output,
         madeTokens: 0,
@@ -280,8 +271,7 @@
     const prefills = this.#usable(request.service, Stage.Prefill)
     if (prefills.length === 0) return { prefill: null, decode: decode.id }
     const prefill = this.#choosePrefill(prefills, decode)
-    if (prefill !== null) return { prefill: prefill.id, decode: decode.id }
-    return this.#shouldSelfRead(request, prefills, decode) ? { prefill: null, decode: decode.id } : null
+    return prefill === null ? null : { prefill: prefill.id, decode: decode.id }
   }
 
   #chooseDecode (request: PlacementRequest, part: number): Backend | null {
@@ -301,14 +291,6 @@
     return best
   }
 
-  /** Prompts read beside streams slow these down, so a runner reads one at a time and only while prefill runners can't keep up. */
-  #shouldSelfRead (request: PlacementRequest, prefills: Backend[], decode: Backend): boolean {
-    if (prefills.some(({ id }) => this.#prefillBacklogMs(id) < SELF_READ_BACKLOG_MS)) return false
-    if (this.#waiting.size < prefills.length * SELF_READ_WAITING) return false
-    for (const run of this.#runs.values()) if (run.decode === decode.id && run.selfReads) return false
-    return request.promptTokens > 0
-  }
-
   #choosePrefill (prefills: Backend[], decode: Backend): Backend | null {
     const ranked = prefills
       .map((backend) => ({ backend, backlogMs: this.#prefillBacklogMs(backend.id), far: backend.failureDomain === decode.failureDomain ? 0 : 1 }))
--- a/src/gateway/role-balance.ts
+++ b/src/gateway/role-balance.ts
@@ -30,11 +30,10 @@
   const held = mix.promptTokens + mix.outputTokens / 2
   const runMs = Math.max(1, mix.outputTokens * mix.msPerToken)
   const decodePerMs = decode * mix.memoryTokens / (held * runMs)
-  const prefillPerMs = prefill / promptMs
-  if (decodePerMs <= prefillPerMs) return decodePerMs * MS_PER_SECOND
-  // Decode runners read the prompts beyond what the prefill pool can: the time makes their runs longer, so they hold memory longer.
+  if (prefill > 0) return Math.min(decodePerMs, prefill / promptMs) * MS_PER_SECOND
+  // Each prompt that a decode runner reads makes its runs longer, so they hold memory longer.
   const stallMs = promptMs / DECODE_PREFILL_SPEED / decode
-  return decodePerMs * (1 + prefillPerMs * stallMs) / (1 + decodePerMs * stallMs) * MS_PER_SECOND
+  return decodePerMs / (1 + decodePerMs * stallMs) * MS_PER_SECOND
 }
 
 const MS_PER_SECOND = 1000
