Keep repeats of streams within the shared budget, listen before serving, name the runner in the record of orders

Ruled out: the split of the slack (the store names all instances at the start). Also found there: a restarted instance took itself for the keeper until it heard the others, and a new keeper placed work on runners whose role was being changed. Changes in quick succession now cost one watch. Tests: stream-forwarding, role-orders.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -7,7 +7,7 @@
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import { InstanceTable, type InstanceStatus } from './instance-table.js'
-import { OrderAuthority } from './order-authority.js'
+import { OrderAuthority, type OrderRecord } from './order-authority.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import { PendingRequest } from './pending-request.js'
 import { deskHandlers, PlacementClient } from './placement-client.js'
@@ -21,6 +21,9 @@
 import { type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { forwardStream, type StreamForwarding } from './stream-forwarding.js'
 
+/** A started instance takes no requests for this long, in milliseconds: it must have heard the heartbeats of the others, or it takes itself for the keeper. */
+const LISTEN_MS = 700
+
 /** A new keeper waits this long for the instances' reports before it places anything, in milliseconds; they come each 300. */
 const LEARN_MS = 400
 
@@ -61,6 +64,7 @@
   #routes: RouteTable | null = null
   #storeRevision = 0
   #reachesStore = false
+  readonly #startedMs: number
   #listed = false
   #stopping = false
   #refusing = false
@@ -68,6 +72,7 @@
   constructor (options: GatewayOptions) {
     this.#options = options
     const { settings, nowMs, log } = options
+    this.#startedMs = nowMs()
     this.backends = new BackendTable({ nowMs, onChange: (change) => this.#onBackend(change) })
     this.instances = new InstanceTable({ ip: settings.ip, nowMs })
     for (const ip of settings.seeds) this.instances.name(ip)
@@ -85,7 +90,7 @@
       log,
       nowMs
     })
-    this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, expected: settings.expectedRequest, fill: () => MEMORY_FILL / this.instances.servingCount() })
+    this.#ownDesk = new PlacementDesk({ nowMs, backends: this.backends, engine, expected: settings.expectedRequest, isChanging: (id) => this.#roles.isChanging(id), fill: () => MEMORY_FILL / this.instances.servingCount() })
     this.#placing = new PlacementClient({
       ip: settings.ip,
       failureDomain: settings.failureDomain,
@@ -112,7 +117,8 @@
   }
 
   get ready (): boolean {
-    return this.#routes !== null && this.#listed && !this.#stopping
+    const listening = this.#options.nowMs() - this.#startedMs < LISTEN_MS
+    return this.#routes !== null && this.#listed && !this.#stopping && !listening
   }
 
   get stopping (): boolean {
@@ -158,6 +164,11 @@
     handler(this, change)
   }
 
+  noteOrder (service: string, record: OrderRecord): void {
+    this.orders.see(service, record)
+    if (record.holder !== this.#options.settings.id) this.#roles.noteOrderOfOther(record.server)
+  }
+
   logUnreadable (key: string, detail: string): void {
     this.#options.log.warn('store.unreadable', { key, detail })
   }
@@ -351,6 +362,6 @@
   [StoreChangeKind.Instance]: (gateway, { ip }) => gateway.instances.name(ip),
   // An instance is taken for gone only when it falls silent: its key may have been taken away while it serves.
   [StoreChangeKind.InstanceRemoved]: () => {},
-  [StoreChangeKind.OrderRecord]: (gateway, { service, record }) => gateway.orders.see(service, record),
+  [StoreChangeKind.OrderRecord]: (gateway, { service, record }) => gateway.noteOrder(service, record),
   [StoreChangeKind.Unreadable]: (gateway, { key, detail }) => gateway.logUnreadable(key, detail)
 }
--- a/src/gateway/order-authority.ts
+++ b/src/gateway/order-authority.ts
@@ -10,6 +10,8 @@
 /** The newest record of who may give orders to a service's runners. */
 export interface OrderRecord {
   holder: string
+  /** The runner that the order is for. */
+  server: string
   /** Revision of the store; the fencing number of the order it allows. */
   revision: number
 }
@@ -50,17 +52,17 @@
   }
 
   /** A number for one order that is to be sent at once; null if this instance may not give one. */
-  async grant (service: string): Promise<number | null> {
+  async grant (service: string, server: string): Promise<number | null> {
     if (!this.mayTry(service)) return null
     const { store, holder, nowMs, log } = this.#options
     const startedMs = nowMs()
-    const result = await store.recordOrder(service, holder, this.#records.get(service)?.revision ?? 0)
+    const result = await store.recordOrder(service, { holder, server }, this.#records.get(service)?.revision ?? 0)
     if ('kind' in result) {
       // A lost answer may hide a granted number: it stays unused, and the next one is higher.
       log.warn('order.not-granted', { service, detail: result.detail })
       return null
     }
-    this.see(service, { holder, revision: result.revision })
+    this.see(service, { holder, server, revision: result.revision })
     if (nowMs() - startedMs > FRESH_GRANT_MS) return null
     return result.revision
   }
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -52,7 +52,7 @@
   /** Makes this instance known to new ones. */
   announce: (ip: string) => Promise<StoreFault | null>
   /** Writes the record of orders if it still has the revision known; the new revision is the order's fencing number. */
-  recordOrder: (service: string, holder: string, knownRevision: number) => Promise<{ revision: number } | StoreFault>
+  recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, knownRevision: number) => Promise<{ revision: number } | StoreFault>
   withdraw: (ip: string) => Promise<StoreFault | null>
 }
 
--- a/src/gateway/repeat-budget.ts
+++ b/src/gateway/repeat-budget.ts
@@ -40,11 +40,6 @@
     return true
   }
 
-  /** Counts a repeat that could not be avoided. */
-  add (service: string): void {
-    this.#counts(service).repeats.push(this.#options.nowMs())
-  }
-
   #counts (service: string): Counts {
     const counts = this.#services.get(service) ?? { requests: [], repeats: [] }
     this.#services.set(service, counts)
--- a/src/gateway/role-orders.ts
+++ b/src/gateway/role-orders.ts
@@ -17,6 +17,8 @@
 /** An order without an answer may be carried out or not; the runner is left alone for this long, in milliseconds, then asked again. */
 const UNKNOWN_ORDER_MS = 4000
 
+const otherStage: Record<Stage, Stage> = { [Stage.Prefill]: Stage.Decode, [Stage.Decode]: Stage.Prefill, [Stage.None]: Stage.None }
+
 interface RoleOrdersOptions {
   backends: BackendTable
   calls: BackendPort
@@ -49,9 +51,18 @@
 
   /** Whether a runner is changing its role and should get no new work. */
   isChanging (id: string): boolean {
+    this.#settle()
     return this.#changing.has(id)
   }
 
+  /** Another instance has ordered a runner to change its role: it gets no new work until the list shows it, also if this instance becomes the keeper. */
+  noteOrderOfOther (server: string): void {
+    const { backends, nowMs } = this.#options
+    const stage = backends.get(server)?.stage
+    if (stage === undefined) return
+    this.#changing.set(server, { stage: otherStage[stage], untilMs: nowMs() + ORDER_LIFETIME_MS })
+  }
+
   /** Looks at a service that this instance keeps. */
   async consider (service: string): Promise<void> {
     const { nowMs, backends } = this.#options
@@ -76,7 +87,7 @@
     const { authority, calls, holder, log, nowMs } = this.#options
     const report = await calls.inspect(backend)
     if (report === null || report.orderInProgress) return
-    const fencingNumber = await authority.grant(service)
+    const fencingNumber = await authority.grant(service, backend.id)
     if (fencingNumber === null) return
     this.#changing.set(backend.id, { stage, untilMs: nowMs() + ORDER_LIFETIME_MS })
     const outcome = await calls.order({ backend, stage, holder, fencingNumber, ordersBefore: report.ordersAccepted })
--- a/src/gateway/store-follower.ts
+++ b/src/gateway/store-follower.ts
@@ -4,6 +4,9 @@
 /** Longest wait of one watch, in milliseconds: a connection gone silent must be noticed well within the time in which a configuration takes force. */
 export const WATCH_WAIT_MS = 1500
 
+/** Pause after a watch that brought changes, in milliseconds, so that changes in quick succession cost one call: far below the time in which they must take effect. */
+const GATHER_MS = 150
+
 /** First pause after a failed call, in milliseconds; doubled up to the longest. */
 const FIRST_PAUSE_MS = 100
 const LONGEST_PAUSE_MS = 800
@@ -71,6 +74,7 @@
     if (isStoreFault(changes)) return changes
     this.#revision = changes.revision
     for (const change of changes.changes) this.#take(change, changes.revision)
+    if (changes.changes.length > 0) await new Promise((resolve) => setTimeout(resolve, GATHER_MS))
     return null
   }
 
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -42,6 +42,7 @@
   readonly #pending: PendingRequest
   readonly #events: EventSplitter
   #sending = false
+  #prefills = 0
 
   constructor (forwarding: StreamForwarding, pending: PendingRequest) {
     this.#forwarding = forwarding
@@ -90,7 +91,7 @@
     const { backends, placing } = this.#forwarding
     const decode = backends.get(placement.decode)
     if (decode === undefined || !backends.accepts(decode)) return ExchangeOutcome.NotSent
-    const prefill = placement.prefill === null ? undefined : backends.get(placement.prefill)
+    const prefill = placement.prefill === null || !this.#mayReadPrompt() ? undefined : backends.get(placement.prefill)
     const source = prefill === undefined ? null : await this.#readPrompt(prefill)
     placing.prefilled(this.#pending.request.id, null)
     if (this.#pending.ended) {
@@ -112,6 +113,13 @@
     return await this.#relay(decode, reply.head)
   }
 
+  /** Only the first prefill of a request is free of the shared budget of repeats. */
+  #mayReadPrompt (): boolean {
+    if (this.#prefills > 0 && !this.#forwarding.repeats.take(this.#pending.service)) return false
+    this.#prefills += 1
+    return true
+  }
+
   async #readPrompt (prefill: Backend): Promise<PromptHandle | null> {
     const { calls, placing, backends } = this.#forwarding
     const pending = this.#pending
@@ -136,7 +144,7 @@
     if (pending.ended) return null
     logFailedSend(this.#forwarding, pending, prefill, reply)
     // The first accepted prefill is no repeat; one that failed is, together with the send that follows.
-    if (reply.outcome !== ExchangeOutcome.NotSent) this.#forwarding.repeats.add(pending.service)
+    if (reply.outcome !== ExchangeOutcome.NotSent && !this.#forwarding.repeats.take(pending.service)) refuseUnanswered(pending, this.#retryAfterMs())
     placing.failed(pending.service, prefill.id)
     return null
   }
