Look for places once a pass for all waiting requests of a service

Each release made the desk look at every runner and every run for each waiting request. Ruled out: dead keepers (all were heard), lost heartbeats. Change: one pool per service and pass, passes at least 10 ms apart. Before: 100 releases beside 200 waiting requests looked at the list of servers for each request; after: at most twice a pass. Test: placement-desk, burst on a large service; an older test lets 10 ms pass before it reports a prompt, as passes are spaced now.

--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -1,9 +1,10 @@
 import { type Backend, incarnationOf, Stage } from './backend.js'
 import type { BackendTable } from './backend-table.js'
 import type { Engine } from './configuration.js'
-import { type RunMemory, peakMemory } from './memory-forecast.js'
+import type { RunMemory } from './memory-forecast.js'
 import { expectedRemaining, type OutputLength } from './output-length.js'
 import type { RequestMix } from './role-balance.js'
+import { RunnerPool } from './runner-pool.js'
 
 /** Share of a decode runner's memory that forecasts may fill; the rest absorbs runs longer than expected. */
 export const MEMORY_FILL = 0.97
@@ -20,6 +21,9 @@
 /** Factor by which one more measured prefill moves the rate towards it; prompts that were cached or held up give rates far off, which must not count for more. */
 const RATE_STEP = 1.04
 
+/** Share of that speed at which decode runners read prompts. */
+const SELF_READ_SPEED = 0.5
+
 /** Weight of one more request in the averages of prompts, outputs and speeds. */
 const MIX_WEIGHT = 0.05
 
@@ -35,6 +39,9 @@
 /** Runs of an instance that has not reported for this long are taken to be gone, in milliseconds; reports come several times in it. */
 const REPORT_LIFETIME_MS = 2500
 
+/** Time between two looks for places, in milliseconds: under a burst, memory comes free more often than looks are worth their processor time. */
+const PASS_SPACING_MS = 10
+
 /** Time between the placement and the first event besides prefill, in milliseconds: two hops, the transfer of memory and the first event's tokens. */
 const FIRST_EVENT_MS = 120
 
@@ -141,6 +148,7 @@
   readonly #restUntilMs = new Map<string, number>()
   readonly #mixes = new Map<string, { requests: number, promptTokens: number, outputTokens: number, msPerToken: number }>()
   #learnsUntilMs = -Infinity
+  #lastPassMs = -Infinity
 
   constructor (options: PlacementDeskOptions) {
     this.#options = options
@@ -186,7 +194,7 @@
   /** Ends a request or a run, whatever its state. */
   release (id: string): void {
     this.#waiting.delete(id)
-    if (this.#runs.delete(id)) this.placeWaiting()
+    if (this.#runs.delete(id)) this.#placeSoon()
   }
 
   /** The prompt of a run has been read; frees the prefill runner for the next one. */
@@ -201,7 +209,7 @@
     const prefill = run.prefill
     run.prefill = null
     this.#startNextPrefill(prefill)
-    this.placeWaiting()
+    this.#placeSoon()
   }
 
   /** Passes over a runner for a while that has just failed a request. */
@@ -227,85 +235,84 @@
     const nowMs = this.#options.nowMs()
     for (const [id, run] of this.#runs) if (nowMs - run.reportedMs > REPORT_LIFETIME_MS) this.#runs.delete(id)
     this.placeWaiting()
-    for (const [id, { request, decide, expiresMs }] of this.#waiting) {
-      const impossible = this.#impossible(request)
-      if (impossible === null && nowMs < expiresMs) continue
+    const withoutRunner = new Map<string, boolean>()
+    for (const [id, { request: { service }, decide, expiresMs }] of this.#waiting) {
+      const impossible = withoutRunner.get(service) ?? !this.#hasDecode(service)
+      withoutRunner.set(service, impossible)
+      if (!impossible && nowMs < expiresMs) continue
       this.#waiting.delete(id)
-      decide(impossible ?? this.#refused(PlacementRefusal.Overloaded))
+      decide(this.#refused(impossible ? PlacementRefusal.NoRunner : PlacementRefusal.Overloaded))
     }
   }
 
   /** Places waiting requests: those that can still be on time first, the earliest objective before later ones. */
   placeWaiting (): void {
     const nowMs = this.#options.nowMs()
-    if (nowMs < this.#learnsUntilMs) return
-    if (this.#waiting.size === 0) return
-    const ranked = [...this.#waiting.values()].map((waiting) => ({ waiting, onTime: this.#canBeOnTime(waiting, nowMs) }))
-    const order = ranked.sort((a, b) => precedence(a) - precedence(b))
-    const full = new Set<string>()
-    for (const { waiting: { request, decide }, onTime } of order) {
-      const placement = full.has(request.service) ? null : this.#place(request, onTime ? 1 : LATE_PART)
-      if (placement === null) {
-        // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
-        full.add(request.service)
-        continue
-      }
-      this.#waiting.delete(request.id)
-      this.#runs.set(request.id, {
-        service: request.service,
-        decode: placement.decode,
-        prefill: placement.prefill,
-        prefillStartMs: nowMs + (placement.prefill === null ? 0 : this.#prefillBacklogMs(placement.prefill)),
-        promptTokens: request.promptTokens,
-        output: request.output,
-        madeTokens: 0,
-        reportedMs: nowMs
-      })
-      decide(placement)
+    if (this.#waiting.size === 0 || nowMs < this.#learnsUntilMs) return
+    this.#lastPassMs = nowMs
+    const byService = new Map<string, Waiting[]>()
+    for (const waiting of this.#waiting.values()) {
+      const { service } = waiting.request
+      const known = byService.get(service)
+      if (known === undefined) byService.set(service, [waiting])
+      else known.push(waiting)
     }
+    for (const [service, waiting] of byService) this.#placeFor(service, waiting)
   }
 
-  #place (request: PlacementRequest, part: number): Placement | null {
-    const decode = this.#chooseDecode(request, part)
-    if (decode === null) return null
-    const prefills = this.#usable(request.service, Stage.Prefill)
-    if (prefills.length === 0) return { prefill: null, decode: decode.id }
-    const prefill = this.#choosePrefill(prefills, decode)
-    return prefill === null ? null : { prefill: prefill.id, decode: decode.id }
+  /** Looks for places after memory came free, unless that was done a moment ago; the next tick does it then. */
+  #placeSoon (): void {
+    if (this.#options.nowMs() - this.#lastPassMs >= PASS_SPACING_MS) this.placeWaiting()
   }
 
-  #chooseDecode (request: PlacementRequest, part: number): Backend | null {
-    const engine = this.#options.engine(request.service)
-    if (engine === null) return null
-    const added: RunMemory = { heldTokens: request.promptTokens, remainingTokens: expectedRemaining(request.output, 0) }
-    let best: Backend | null = null
-    let lowest = engine.memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL) * part
-    for (const backend of this.#usable(request.service, Stage.Decode)) {
-      const runs = this.#runsOn(backend.id)
-      // A run larger than the usual share may have an empty runner for itself.
-      const peak = runs.length === 0 ? 0 : peakMemory([...runs, added])
-      if (runs.length >= engine.slots || peak > lowest) continue
-      lowest = peak
-      best = backend
+  #placeFor (service: string, waiting: Waiting[]): void {
+    const pool = this.#poolOf(service)
+    if (pool === null) return
+    const nowMs = this.#options.nowMs()
+    const ranked = waiting.map((one) => ({ waiting: one, onTime: canBeOnTime(one, pool, nowMs) }))
+    for (const { waiting: { request, decide }, onTime } of ranked.sort((a, b) => precedence(a) - precedence(b))) {
+      const run = this.#place(request, pool, onTime ? 1 : LATE_PART)
+      // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
+      if (run === null) return
+      this.#waiting.delete(request.id)
+      this.#runs.set(request.id, run)
+      decide({ prefill: run.prefill, decode: run.decode })
     }
-    return best
   }
 
-  #choosePrefill (prefills: Backend[], decode: Backend): Backend | null {
-    const ranked = prefills
-      .map((backend) => ({ backend, backlogMs: this.#prefillBacklogMs(backend.id), far: backend.failureDomain === decode.failureDomain ? 0 : 1 }))
-      .sort((a, b) => a.backlogMs - b.backlogMs || a.far - b.far)
-    const first = ranked[0]
-    return first === undefined || first.backlogMs > PREFILL_BACKLOG_MS ? null : first.backend
+  #place (request: PlacementRequest, pool: RunnerPool, part: number): Run | null {
+    const { service, promptTokens, output } = request
+    const memoryTokens = this.#options.engine(service)?.memoryTokens ?? 0
+    const memory: RunMemory = { heldTokens: promptTokens, remainingTokens: expectedRemaining(output, 0) }
+    const decode = pool.chooseDecode(memory, memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL) * part)
+    if (decode === null) return null
+    const prefill = pool.choosePrefill(decode.backend, PREFILL_BACKLOG_MS)
+    if (prefill === 'busy') return null
+    const prefillStartMs = pool.add(memory, decode, prefill)
+    return {
+      service,
+      decode: decode.backend.id,
+      prefill: prefill?.backend.id ?? null,
+      prefillStartMs,
+      promptTokens,
+      output,
+      madeTokens: 0,
+      reportedMs: this.#options.nowMs()
+    }
   }
 
-  /** Time until a prefill runner is expected to have read the prompts given to it. */
-  #prefillBacklogMs (id: string): number {
-    let endMs = this.#options.nowMs()
+  #poolOf (service: string): RunnerPool | null {
+    const engine = this.#options.engine(service)
+    if (engine === null) return null
+    const nowMs = this.#options.nowMs()
+    const prefill = new Map(this.#usable(service, Stage.Prefill).map((backend) => [backend.id, { backend, freeAtMs: nowMs, tokensPerMs: this.#prefillRate(backend.id) }]))
+    const decode = new Map(this.#usable(service, Stage.Decode).map((backend) => [backend.id, { backend, runs: [] as RunMemory[] }]))
     for (const run of this.#runs.values()) {
-      if (run.prefill === id) endMs = Math.max(endMs, run.prefillStartMs + run.promptTokens / this.#prefillRate(id))
+      decode.get(run.decode)?.runs.push({ heldTokens: run.promptTokens + run.madeTokens, remainingTokens: expectedRemaining(run.output, run.madeTokens) })
+      const reader = run.prefill === null ? undefined : prefill.get(run.prefill)
+      if (reader !== undefined) reader.freeAtMs = Math.max(reader.freeAtMs, run.prefillStartMs + run.promptTokens / reader.tokensPerMs)
     }
-    return endMs - this.#options.nowMs()
+    return new RunnerPool({ prefill: [...prefill.values()], decode: [...decode.values()], slots: engine.slots, nowMs })
   }
 
   /** The runner has finished a prompt: the earliest of the others is next now, whatever was expected. */
@@ -322,22 +329,6 @@
     return this.#prefillRates.get(id) ?? INITIAL_PREFILL_RATE
   }
 
-  #runsOn (decode: string): RunMemory[] {
-    const runs: RunMemory[] = []
-    for (const run of this.#runs.values()) {
-      if (run.decode !== decode) continue
-      runs.push({ heldTokens: run.promptTokens + run.madeTokens, remainingTokens: expectedRemaining(run.output, run.madeTokens) })
-    }
-    return runs
-  }
-
-  /** Whether the first event can come before the objective if the request is placed now. */
-  #canBeOnTime ({ request, objectiveMs }: Waiting, nowMs: number): boolean {
-    const waits = this.#usable(request.service, Stage.Prefill).map(({ id }) => this.#prefillBacklogMs(id) + request.promptTokens / this.#prefillRate(id))
-    const prefillMs = waits.length === 0 ? request.promptTokens / (INITIAL_PREFILL_RATE / 2) : Math.min(...waits)
-    return objectiveMs - nowMs > prefillMs + FIRST_EVENT_MS
-  }
-
   #usable (service: string, stage: Stage): Backend[] {
     const nowMs = this.#options.nowMs()
     const ready = this.#options.backends.ready(service, stage).filter(({ id }) => this.#options.isChanging?.(id) !== true)
@@ -347,13 +338,15 @@
 
   #impossible (request: PlacementRequest): RefusedPlacement | null {
     const engine = this.#options.engine(request.service)
-    if (engine === null || this.#options.backends.ready(request.service, Stage.Decode).length === 0) {
-      return this.#refused(PlacementRefusal.NoRunner)
-    }
+    if (engine === null || !this.#hasDecode(request.service)) return this.#refused(PlacementRefusal.NoRunner)
     if (request.promptTokens >= engine.memoryTokens) return this.#refused(PlacementRefusal.TooLarge)
     return null
   }
 
+  #hasDecode (service: string): boolean {
+    return this.#options.backends.ready(service, Stage.Decode).length > 0
+  }
+
   #refused (refusal: PlacementRefusal): RefusedPlacement {
     return { refusal, retryAfterMs: RETURN_MS, waiting: this.#waiting.size, runs: this.#runs.size }
   }
@@ -428,6 +421,12 @@
   }
 }
 
+/** Whether the first event can come before the objective if the request is placed now. */
+function canBeOnTime ({ request, objectiveMs }: Waiting, pool: RunnerPool, nowMs: number): boolean {
+  const promptMs = pool.promptMs(request.promptTokens) ?? request.promptTokens / (INITIAL_PREFILL_RATE * SELF_READ_SPEED)
+  return objectiveMs - nowMs > promptMs + FIRST_EVENT_MS
+}
+
 /** Requests that can still be on time go by their objective, late ones after them by their arrival. */
 function precedence ({ waiting, onTime }: { waiting: Waiting, onTime: boolean }): number {
   return onTime ? waiting.objectiveMs : LATE_RANK + waiting.arrivedMs
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -17,7 +17,7 @@
 const HEARTBEAT_MS = 500
 
 /** Time between looks at what is due, in milliseconds; it bounds how much longer than its patience a request waits. */
-const TICK_MS = 50
+const TICK_MS = 25
 
 /** Time between looks for a peer with newer knowledge, in milliseconds. */
 const CATCH_UP_MS = 300
--- a/test/gateway/placement-desk.test.ts
+++ b/test/gateway/placement-desk.test.ts
@@ -75,6 +75,7 @@
     const desk = fixture([prefill('p'), decode('d1'), decode('d2')])
     for (const id of ['a', 'b', 'c', 'd', 'e']) desk.ask(id)
     expect(desk.decisions.size).toBeLessThan(5)
+    desk.clock.ms += 10
     desk.desk.prefilled('a', 50)
     expect(desk.decisions.size).toBeGreaterThan(2)
   })
@@ -131,3 +132,27 @@
     expect(none.decisions.get('a')).toMatchObject({ refusal: PlacementRefusal.NoRunner })
   })
 })
+
+describe('PlacementDesk under a burst on a large service', () => {
+  test('looks at the list of servers a few times each pass, however many requests wait', () => {
+    const servers = Array.from({ length: 30 }, (_, index) => index < 10 ? prefill(`p${index}`) : decode(`d${index}`))
+    const desk = fixture(servers)
+    for (let request = 0; request < 600; request += 1) {
+      desk.ask(`q${request}`, { patienceMs: 2000 })
+      readPrompts(desk)
+    }
+    expect(desk.desk.waitingCount).toBeGreaterThan(200)
+    let looks = 0
+    const ready = desk.backends.ready.bind(desk.backends)
+    desk.backends.ready = (service, stage) => {
+      looks += 1
+      return ready(service, stage)
+    }
+    for (const id of [...desk.decisions.keys()].slice(0, 100)) {
+      desk.clock.ms += 1
+      desk.desk.release(id)
+    }
+    // Two looks for each of the passes, which are at least ten milliseconds apart.
+    expect(looks).toBeLessThanOrEqual(2 * 11)
+  })
+})
