--- /dev/null
+++ b/src/soak/run-soak.ts
@@ -0,0 +1,122 @@
+import { request } from 'node:http'
+import { seededRandom } from '../runtime/random.js'
+import { SoakCaller } from './soak-caller.js'
+import { faultHandlers, SoakFault } from './soak-faults.js'
+import { SoakFleet } from './soak-fleet.js'
+import { type CallEnd, SoakLedger } from './soak-ledger.js'
+
+/** Time for the fleet to become ready, in milliseconds. */
+const START_MS = 2500
+
+/** Time after the last fault until service must be good again, in milliseconds: restarts, a stop within its grace, heartbeats. */
+const RECOVERY_MS = 10000
+
+/** Time in which the share of good answers is judged after that, in milliseconds. */
+const CALM_MS = 2500
+
+/** Share of calls that must be answered in the calm time. */
+const CALM_SHARE = 0.95
+
+/** Time in which a configuration must be in force on an untouched instance, in milliseconds. */
+const APPLY_MS = 2000
+
+/** Time without faults after which an instance counts as untouched, in milliseconds. */
+const UNTOUCHED_MS = 5000
+
+/** Work of callers that are gone must have ended after this time, in milliseconds. */
+const RELEASE_MS = 1000
+
+interface SoakOptions {
+  seed: number
+  faultsMs: number
+  instances: number
+  callers: number
+  folder: string
+}
+
+export interface SoakOutcome {
+  seed: number
+  calls: number
+  good: number
+  faults: SoakFault[]
+  violations: string[]
+}
+
+/** Plays one seed: callers, a series of overlapping faults, recovery, and the judgement. */
+export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
+  const random = seededRandom(options.seed)
+  const ledger = new SoakLedger()
+  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger })
+  const violations: string[] = []
+  try {
+    await fleet.start()
+    await delay(START_MS)
+    const callers = Array.from({ length: options.callers }, (_, index) =>
+      new SoakCaller({ name: `s${options.seed}c${index}`, directories: fleet.directories, ledger, random }))
+    const running = Promise.all(callers.map((caller) => caller.run()))
+    const faults = await injectFaults(fleet, random, options.faultsMs, violations)
+    await delay(RECOVERY_MS)
+    const before = ledger.ends.length
+    await delay(CALM_MS)
+    const calm = ledger.ends.slice(before)
+    if (shareGood(calm) < CALM_SHARE) violations.push(`after recovery only ${calm.filter(isGood).length} of ${calm.length} calls were answered`)
+    for (const caller of callers) caller.stop()
+    await running
+    await delay(RELEASE_MS)
+    const held = fleet.runners.reduce((sum, { standIn }) => sum + standIn.active, 0)
+    if (held > 0) violations.push(`${held} runs are still at work for callers that are gone`)
+    violations.push(...ledger.violations())
+    return { seed: options.seed, calls: ledger.ends.length, good: ledger.ends.filter(isGood).length, faults, violations }
+  } finally {
+    await fleet.stop()
+  }
+}
+
+async function injectFaults (fleet: SoakFleet, random: () => number, forMs: number, violations: string[]): Promise<SoakFault[]> {
+  const pick = <T>(from: T[]): T => from[Math.floor(random() * from.length)] as T
+  const pending: Array<Promise<void>> = []
+  const later = (ms: number, action: () => void): void => { pending.push(delay(ms).then(action)) }
+  const faults: SoakFault[] = []
+  for (let passedMs = 0; passedMs < forMs;) {
+    const fault = pick(Object.values(SoakFault))
+    faults.push(fault)
+    faultHandlers[fault]({ fleet, random, pick, later })
+    if (fault === SoakFault.Configuration) pending.push(checkApplied(fleet, fleet.configure(), violations))
+    const pauseMs = 200 + 1200 * random()
+    passedMs += pauseMs
+    await delay(pauseMs)
+  }
+  for (let done = 0; done < pending.length; done += 1) await pending[done]
+  return faults
+}
+
+/** Judges instances that no fault touched from a while before the change until its route had to be in force. */
+async function checkApplied (fleet: SoakFleet, path: string, violations: string[]): Promise<void> {
+  const sinceMs = performance.now() - UNTOUCHED_MS
+  await delay(APPLY_MS)
+  for (const instance of fleet.instances) {
+    if (instance.touchedMs > sinceMs) continue
+    const status = await new Promise<number>((resolve) => {
+      const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example', 'X-Request-Id': 'probe', 'X-Deadline-Ms': '1000' }, timeout: 1500 }, (answer) => {
+        answer.resume()
+        resolve(answer.statusCode ?? 0)
+      })
+      asked.on('timeout', () => asked.destroy())
+      asked.on('error', () => resolve(0))
+      asked.end()
+    })
+    if (status === 404 && instance.touchedMs <= sinceMs) violations.push(`${instance.ip} does not know ${path} ${APPLY_MS} ms after it was accepted`)
+  }
+}
+
+function isGood ({ status, fault }: CallEnd): boolean {
+  return status === 200 && fault === null
+}
+
+function shareGood (ends: CallEnd[]): number {
+  return ends.length === 0 ? 0 : ends.filter(isGood).length / ends.length
+}
+
+function delay (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
--- /dev/null
+++ b/src/soak/soak-ledger.ts
@@ -0,0 +1,38 @@
+export enum CallKind {
+  Order = 'order',
+  Check = 'check',
+  Stream = 'stream'
+}
+
+/** How one attempt ended, as its caller saw it. */
+export interface CallEnd {
+  id: string
+  kind: CallKind
+  /** Null if the connection broke. */
+  status: number | null
+  /** What is wrong with the answer itself; null if nothing is. */
+  fault: string | null
+}
+
+const REFUSALS = new Set([408, 421, 429, 503])
+
+/** What backend servers ran and callers saw; judges the promises that need no clock. */
+export class SoakLedger {
+  readonly #runs = new Map<string, number>()
+  readonly ends: CallEnd[] = []
+
+  ran (id: string): void {
+    this.#runs.set(id, (this.#runs.get(id) ?? 0) + 1)
+  }
+
+  violations (): string[] {
+    const found: string[] = []
+    for (const { id, kind, status, fault } of this.ends) {
+      const runs = this.#runs.get(id) ?? 0
+      if (fault !== null) found.push(`${id} (${kind}): ${fault}`)
+      if (kind !== CallKind.Check && runs > 1) found.push(`${id} (${kind}): ran ${runs} times`)
+      if (kind !== CallKind.Check && status !== null && REFUSALS.has(status) && runs > 0) found.push(`${id} (${kind}): refused with ${status} although it ran`)
+    }
+    return found
+  }
+}
--- /dev/null
+++ b/src/standin/platform-runner-standin.ts
@@ -0,0 +1,105 @@
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+
+export enum RunnerStage {
+  Plain = 'plain',
+  Prefill = 'prefill',
+  Decode = 'decode'
+}
+
+/** Events of one stream, and the time between them in milliseconds. */
+export const STREAM_EVENTS = 12
+const EVENT_MS = 25
+
+/** Time of a plain request, in milliseconds. */
+const WORK_MS = 15
+
+interface PlatformRunnerOptions {
+  id: string
+  stage: RunnerStage
+  /** Told of each request that begins to run here. */
+  onRun: (requestId: string) => void
+}
+
+/** Takes the place of a backend server on the platform: plain, prefill or decode. */
+export class PlatformRunnerStandIn {
+  readonly server: Server
+  readonly #options: PlatformRunnerOptions
+  readonly #sockets = new Set<Socket>()
+  readonly #active = new Set<string>()
+  /** Share of the plain answers that are lost after the request ran. */
+  lostShare = 0
+
+  constructor (options: PlatformRunnerOptions) {
+    this.#options = options
+    this.server = createServer((request, response) => {
+      request.resume()
+      request.on('end', () => this.#serve(request, response))
+    })
+    this.server.on('connection', (socket) => {
+      this.#sockets.add(socket)
+      socket.on('close', () => this.#sockets.delete(socket))
+    })
+  }
+
+  get active (): number {
+    return this.#active.size
+  }
+
+  /** Ends at once, with every connection and all running work. */
+  crash (): void {
+    this.server.close()
+    for (const socket of this.#sockets) socket.resetAndDestroy()
+    this.#active.clear()
+  }
+
+  #serve (request: IncomingMessage, response: ServerResponse): void {
+    const id = String(request.headers['x-request-id'] ?? '')
+    const expected = request.headers['x-expect-instance']
+    if (expected !== undefined && expected !== this.#options.id) {
+      response.writeHead(421, { 'X-Instance-Id': this.#options.id }).end()
+      return
+    }
+    if (request.url === '/v1/report') {
+      response.end(JSON.stringify({ Sequence: 0, Busy: false }))
+      return
+    }
+    if (request.headers['x-stage'] === 'prefill') {
+      response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ Handle: `h-${id}`, Tokens: 1, Version: 1 }))
+      return
+    }
+    if (this.#options.stage === RunnerStage.Prefill) {
+      response.writeHead(421).end()
+      return
+    }
+    this.#options.onRun(id)
+    this.#active.add(id)
+    response.on('close', () => this.#active.delete(id))
+    if (this.#options.stage === RunnerStage.Plain) this.#answer(id, response)
+    else this.#stream(id, Number(request.headers['last-event-id'] ?? 0), response)
+  }
+
+  #answer (id: string, response: ServerResponse): void {
+    setTimeout(() => {
+      if (Math.random() < this.lostShare) {
+        response.destroy()
+        return
+      }
+      const body = `answer to ${id}`
+      response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Length': body.length }).end(body)
+    }, WORK_MS)
+  }
+
+  #stream (id: string, after: number, response: ServerResponse): void {
+    response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Type': 'text/event-stream' })
+    let event = after
+    const timer = setInterval(() => {
+      event += 1
+      response.write(`id: ${event}\ndata: ${id}\n\n`)
+      if (event < STREAM_EVENTS) return
+      clearInterval(timer)
+      response.end()
+    }, EVENT_MS)
+    response.on('close', () => clearInterval(timer))
+  }
+}
