--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -16,7 +16,6 @@
   }),
   storeAddress: address.describe('The platform\'s store'),
   seeds: z.array(z.string()).default([]).describe('IP numbers of instances to contact first'),
-  configurationApplyMs: z.number().positive().default(2000).describe('Time in which an accepted configuration must be in force, in milliseconds'),
   expectedRequest: z.object({
     promptTokens: z.number().positive().default(5200).describe('Tokens of a usual prompt'),
     outputTokens: z.number().positive().default(5100).describe('Tokens of a usual answer')
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -32,6 +32,7 @@
   readonly runners: Array<{ id: string, ip: string, service: string, stage: RunnerStage, standIn: PlatformRunnerStandIn }> = []
   readonly instances: SoakInstance[] = []
   readonly #options: SoakFleetOptions
+  readonly #added: string[] = []
   #version = 1
 
   constructor (options: SoakFleetOptions) {
@@ -60,10 +61,11 @@
     }
   }
 
-  /** Writes the next version of the configuration and returns the path of the route that is new in it. */
+  /** Writes the next version of the configuration, which keeps all routes of those before, and returns the path of the route that is new in it. */
   configure (): string {
     this.#version += 1
     const added = `/added-${this.#version}/`
+    this.#added.push(added)
     const route = (name: string, kind: string, service: string, more: object = {}): object => ({
       Name: name, Host: 'soak.example', PathPrefix: name, Kind: kind, TimeoutMs: 3000, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
     })
@@ -73,7 +75,7 @@
         route('/orders/', 'non_idempotent', 'plain'),
         route('/checks/', 'idempotent', 'plain'),
         route('/streams/', 'streaming', 'model', { Attempts: 1, TargetGapMs: 300 }),
-        route(added, 'idempotent', 'plain')
+        ...this.#added.map((path) => route(path, 'idempotent', 'plain'))
       ],
       Services: [{ Name: 'plain', MaxConnections: 100 }, { Name: 'model', MaxConnections: 100, Engine: { Slots: 16, KvCacheTokens: 20_000, Stride: 40 } }],
       Limits: { HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
--- /dev/null
+++ b/test/gateway/gateway.test.ts
@@ -0,0 +1,117 @@
+import { describe, expect, test } from '@jest/globals'
+import { Stage } from '../../src/gateway/backend.js'
+import { HeadMeaning } from '../../src/gateway/backend-port.js'
+import { RouteKind } from '../../src/gateway/configuration.js'
+import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
+import { Gateway } from '../../src/gateway/gateway.js'
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
+import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
+import type { PlatformStore } from '../../src/gateway/platform-store.js'
+import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type Script, ScriptedCalls } from './gateway-fixtures.js'
+
+const LISTENING_MS = 1000
+
+interface Fixture {
+  gateway: Gateway
+  log: ReturnType<typeof recordingLog>
+  clock: { ms: number }
+}
+
+function instance (answer: () => Script = () => 'silent'): Fixture {
+  const settings = gatewaySettingsSchema.parse({
+    id: 'n1',
+    ip: '10.0.0.1',
+    failureDomain: 'a',
+    listeners: { callers: '10.0.0.1:1', readiness: '10.0.0.1:2', directory: '10.0.0.1:3', peerPort: 4, metricsPort: 5 },
+    storeAddress: '10.9.0.1:1',
+    repeats: { ratio: 0.2, slack: 50, windowS: 10 }
+  })
+  const clock = { ms: 0 }
+  const log = recordingLog()
+  const gateway = new Gateway({
+    settings,
+    calls: new ScriptedCalls(answer),
+    store: {} as PlatformStore,
+    log,
+    metrics: new GatewayMetrics(),
+    send: () => {},
+    nowMs: () => clock.ms,
+    random: () => 0
+  })
+  return { gateway, log, clock }
+}
+
+/** An instance with a configuration, one plain server and one decode runner. */
+function serving (answer?: () => Script): Fixture {
+  const fixture = instance(answer)
+  fixture.gateway.apply(configuration({
+    version: 7,
+    routes: [
+      route({ name: 'order', pathPrefix: '/order/', kind: RouteKind.NonIdempotent }),
+      route({ name: 'stream', pathPrefix: '/stream/', kind: RouteKind.Streaming, attempts: 1, services: [{ service: 'model', weight: 1 }] })
+    ]
+  }), 'store')
+  fixture.gateway.takeListing({ revision: 12, changes: [] })
+  fixture.gateway.backends.put(backend())
+  fixture.gateway.backends.put(backend({ id: 'd1', service: 'model', stage: Stage.Decode }))
+  fixture.clock.ms = LISTENING_MS
+  fixture.log.lines.length = 0
+  return fixture
+}
+
+async function settle (): Promise<void> {
+  for (let turn = 0; turn < 10; turn += 1) await new Promise((resolve) => setImmediate(resolve))
+}
+
+describe('Gateway', () => {
+  test('refuses as not run until it has a configuration, and 404 only for a route that the newest one lacks', () => {
+    const { gateway } = instance()
+    const early = new RecordingResponder()
+    gateway.serve(callerRequest(), early)
+    expect(early.refusal).toBe('no-configuration')
+    gateway.apply(configuration({ version: 5, routes: [] }), 'store')
+    const unknown = new RecordingResponder()
+    gateway.serve(callerRequest(), unknown)
+    expect(unknown.refusal).toBe('unknown-route')
+  })
+
+  test('never puts an older configuration in force again', () => {
+    const { gateway } = instance()
+    gateway.apply(configuration({ version: 5 }), 'store')
+    gateway.apply(configuration({ version: 4 }), '10.0.0.2')
+    expect(gateway.configuration?.version).toBe(5)
+  })
+
+  test('is ready with a configuration and a listing, after it has listened to the other instances, until it stops', () => {
+    const { gateway, clock } = instance()
+    gateway.apply(configuration(), 'store')
+    gateway.takeListing({ revision: 1, changes: [] })
+    expect(gateway.ready).toBe(false)
+    clock.ms = LISTENING_MS
+    expect(gateway.ready).toBe(true)
+    gateway.stop()
+    expect(gateway.ready).toBe(false)
+  })
+
+  test('takes over newer knowledge of a peer, and no older listing', () => {
+    const { gateway } = serving()
+    gateway.takePeerSnapshot('10.0.0.2', 11, configuration({ version: 9 }), [])
+    expect(gateway.configuration?.version).toBe(9)
+    expect(gateway.backends.all()).toHaveLength(2)
+    gateway.takePeerSnapshot('10.0.0.2', 13, null, [backend({ id: 'b9' })])
+    expect(gateway.backends.get('b9')).toBeDefined()
+  })
+
+  test.each([
+    ['an order of unknown outcome', '/order/x', () => ExchangeOutcome.Broken],
+    ['an order that the server rejected', '/order/x', () => ({ status: 503, meaning: HeadMeaning.NotRun })],
+    ['a stream that broke off', '/stream/x', () => ({ parts: ['id: 1\ndata: a\n\n'], end: 'broken' })],
+    ['a path without a route', '/none/x', () => 'silent']
+  ] as Array<[string, string, () => Script]>)('explains %s from its lines', async (_name, path, answer) => {
+    const { gateway, log } = serving(answer)
+    const work = path.startsWith('/stream') ? { promptTokens: 500, maxOutputTokens: 900, estimatedOutputTokens: null } : null
+    gateway.serve(callerRequest({ path, target: path, arrivedMs: LISTENING_MS, work }), new RecordingResponder())
+    await settle()
+    expect(log.lines.filter((line) => line.includes('request=q1'))).toMatchSnapshot()
+  })
+})
