Move the platform's wire of the soak to the stand-ins and the placement types to a file of their own

Read as a newcomer: names of the platform stood in src/soak, and the desk's file held the types that its callers need.

--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -1,6 +1,6 @@
 import { decode, encode } from 'cbor-x'
 import { z } from 'zod'
-import { PlacementRefusal } from './placement-desk.js'
+import { PlacementRefusal } from './placement.js'
 
 export enum PeerDatagramKind {
   Heartbeat = 'heartbeat',
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -4,7 +4,8 @@
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PendingRequest } from './pending-request.js'
 import type { Placing } from './placing.js'
-import { type Placement, type PlacementDesk, type PlacementRequest, PlacementRefusal, type RefusedPlacement, type RunReport } from './placement-desk.js'
+import { type Placement, type PlacementRequest, PlacementRefusal, type RefusedPlacement, type RunReport } from './placement.js'
+import { type PlacementDesk } from './placement-desk.js'
 
 /** Wait for any sign from the keeper before it is asked again, in milliseconds; an answer takes a few. */
 const ASK_AGAIN_MS = 70
--- a/src/gateway/placing.ts
+++ b/src/gateway/placing.ts
@@ -1,5 +1,5 @@
 import type { PendingRequest } from './pending-request.js'
-import type { Placement, RefusedPlacement } from './placement-desk.js'
+import type { Placement, RefusedPlacement } from './placement.js'
 
 /** Finds runners for model requests and keeps the one who decides informed of what became of them. */
 export interface Placing {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -5,7 +5,7 @@
 import { dispatch, type Forwarding, logFailedSend, refuseAtTimeout, refuseUnanswered, type Reply, takeAnotherSend } from './forwarding.js'
 import { type ExchangeHead, readWhole } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
-import type { Placement, RefusedPlacement } from './placement-desk.js'
+import type { Placement, RefusedPlacement } from './placement.js'
 import type { Placing } from './placing.js'
 import { GatewayRefusal } from './refusal.js'
 
--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -1,9 +1,10 @@
 import { request } from 'node:http'
 import { seededRandom } from '../runtime/random.js'
-import { SoakCaller } from './soak-caller.js'
+import type { CallEnd } from '../standin/platform-call.js'
+import { PlatformCallerStandIn } from '../standin/platform-caller-standin.js'
 import { faultHandlers, SoakFault } from './soak-faults.js'
 import { SoakFleet } from './soak-fleet.js'
-import { type CallEnd, SoakLedger } from './soak-ledger.js'
+import { SoakLedger } from './soak-ledger.js'
 
 /** Time for the fleet to become ready, in milliseconds. */
 const START_MS = 2500
@@ -52,7 +53,7 @@
     await fleet.start()
     await delay(START_MS)
     const callers = Array.from({ length: options.callers }, (_, index) =>
-      new SoakCaller({ name: `s${options.seed}c${index}`, directories: fleet.directories, ledger, random }))
+      new PlatformCallerStandIn({ name: `s${options.seed}c${index}`, directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
     const running = Promise.all(callers.map((caller) => caller.run()))
     const faults = await injectFaults(fleet, random, options.faultsMs, violations)
     await delay(RECOVERY_MS)
@@ -97,7 +98,7 @@
   for (const instance of fleet.instances) {
     if (instance.touchedMs > sinceMs) continue
     const status = await new Promise<number>((resolve) => {
-      const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example', 'X-Request-Id': 'probe', 'X-Deadline-Ms': '1000' }, timeout: 1500 }, (answer) => {
+      const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example' }, timeout: 1500 }, (answer) => {
         answer.resume()
         resolve(answer.statusCode ?? 0)
       })
--- a/src/soak/soak-faults.ts
+++ b/src/soak/soak-faults.ts
@@ -1,3 +1,4 @@
+import { serverKey } from '../standin/platform-entries.js'
 import { LinkState } from './faulty-link.js'
 import type { SoakFleet, SoakInstance } from './soak-fleet.js'
 
@@ -68,11 +69,11 @@
     })
   },
   [SoakFault.RunnerCrash]: ({ fleet, pick, later }) => {
-    const index = Math.floor(fleet.runners.indexOf(pick(fleet.runners)))
+    const index = fleet.runners.indexOf(pick(fleet.runners))
     const runner = fleet.runners[index]
     if (runner === undefined || !runner.standIn.server.listening) return
     runner.standIn.crash()
-    later(800, () => fleet.store.remove(`servers/${runner.id}`))
+    later(800, () => fleet.store.remove(serverKey(runner.id)))
     later(1500, () => { fleet.startRunner(index, runner.stage).catch((error: unknown) => { process.stderr.write(`runner: ${String(error)}\n`) }) })
   },
   [SoakFault.AnswersLost]: ({ fleet, pick, later }) => {
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -3,6 +3,7 @@
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { Server } from 'node:net'
+import { configurationKey, platformConfiguration, platformServer, serverKey } from '../standin/platform-entries.js'
 import { PlatformRunnerStandIn, RunnerStage } from '../standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../standin/platform-store-standin.js'
 import { FaultyLink } from './faulty-link.js'
@@ -66,20 +67,7 @@
     this.#version += 1
     const added = `/added-${this.#version}/`
     this.#added.push(added)
-    const route = (name: string, kind: string, service: string, more: object = {}): object => ({
-      Name: name, Host: 'soak.example', PathPrefix: name, Kind: kind, TimeoutMs: 3000, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
-    })
-    this.store.put('op/config', {
-      Version: this.#version,
-      Routes: [
-        route('/orders/', 'non_idempotent', 'plain'),
-        route('/checks/', 'idempotent', 'plain'),
-        route('/streams/', 'streaming', 'model', { Attempts: 1, TargetGapMs: 300 }),
-        ...this.#added.map((path) => route(path, 'idempotent', 'plain'))
-      ],
-      Services: [{ Name: 'plain', MaxConnections: 100 }, { Name: 'model', MaxConnections: 100, Engine: { Slots: 16, KvCacheTokens: 20_000, Stride: 40 } }],
-      Limits: { HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
-    })
+    this.store.put(configurationKey, platformConfiguration({ version: this.#version, addedPaths: this.#added }))
     return added
   }
 
@@ -90,16 +78,7 @@
     const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request) => this.#options.ledger.ran(request) })
     await listen(standIn.server, ip, PORTS.runner)
     this.runners[index] = { id, ip, service, stage, standIn }
-    this.store.put(`servers/${id}`, {
-      Service: service,
-      Address: `${ip}:${PORTS.runner}`,
-      Zone: 'a',
-      State: 'ready',
-      Slots: 16,
-      Sequence: 1,
-      born: Date.now(),
-      ...(stage === RunnerStage.Plain ? {} : { Stage: stage })
-    })
+    this.store.put(serverKey(id), platformServer({ service, address: `${ip}:${PORTS.runner}`, stage }))
   }
 
   /** Starts the process of an instance again if it has ended. */
--- a/src/soak/soak-ledger.ts
+++ b/src/soak/soak-ledger.ts
@@ -1,18 +1,4 @@
-export enum CallKind {
-  Order = 'order',
-  Check = 'check',
-  Stream = 'stream'
-}
-
-/** How one attempt ended, as its caller saw it. */
-export interface CallEnd {
-  id: string
-  kind: CallKind
-  /** Null if the connection broke. */
-  status: number | null
-  /** What is wrong with the answer itself; null if nothing is. */
-  fault: string | null
-}
+import { CallKind, type CallEnd } from '../standin/platform-call.js'
 
 const REFUSALS = new Set([408, 421, 429, 503])
 
--- /dev/null
+++ b/src/standin/platform-entries.ts
@@ -0,0 +1,45 @@
+import { RunnerStage } from './platform-runner-standin.js'
+
+/** Host of all routes. */
+const HOST = 'soak.example'
+
+export const configurationKey = 'op/config'
+
+export function serverKey (id: string): string {
+  return `servers/${id}`
+}
+
+/** A configuration as an operator writes it: orders, checks and streams, and the given paths to the plain service. */
+export function platformConfiguration ({ version, addedPaths }: { version: number, addedPaths: string[] }): unknown {
+  const route = (path: string, kind: string, service: string, more: object = {}): object => ({
+    Name: path, Host: HOST, PathPrefix: path, Kind: kind, TimeoutMs: 3000, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
+  })
+  return {
+    Version: version,
+    Routes: [
+      route('/orders/', 'non_idempotent', 'plain'),
+      route('/checks/', 'idempotent', 'plain'),
+      route('/streams/', 'streaming', 'model', { Attempts: 1, TargetGapMs: 300 }),
+      ...addedPaths.map((path) => route(path, 'idempotent', 'plain'))
+    ],
+    Services: [
+      { Name: 'plain', MaxConnections: 100 },
+      { Name: 'model', MaxConnections: 100, Engine: { Slots: 16, KvCacheTokens: 20_000, Stride: 40 } }
+    ],
+    Limits: { HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
+  }
+}
+
+/** The entry of a server that has just started. */
+export function platformServer ({ service, address, stage }: { service: string, address: string, stage: RunnerStage }): unknown {
+  return {
+    Service: service,
+    Address: address,
+    Zone: 'a',
+    State: 'ready',
+    Slots: 16,
+    Sequence: 1,
+    born: Date.now(),
+    ...(stage === RunnerStage.Plain ? {} : { Stage: stage })
+  }
+}
--- a/test/gateway/placement-desk.test.ts
+++ b/test/gateway/placement-desk.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, test } from '@jest/globals'
 import { type Backend, Stage } from '../../src/gateway/backend.js'
 import { BackendTable } from '../../src/gateway/backend-table.js'
-import { type Placement, PlacementDesk, PlacementRefusal, type PlacementRequest, type RefusedPlacement } from '../../src/gateway/placement-desk.js'
+import { type Placement, PlacementRefusal, type PlacementRequest, type RefusedPlacement } from '../../src/gateway/placement.js'
+import { PlacementDesk } from '../../src/gateway/placement-desk.js'
 import { backend } from './gateway-fixtures.js'
 
 const engine = { slots: 64, memoryTokens: 100_000, tokensPerEvent: 73 }
--- a/test/soak/soak-ledger.test.ts
+++ b/test/soak/soak-ledger.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
-import { CallKind, SoakLedger } from '../../src/soak/soak-ledger.js'
+import { SoakLedger } from '../../src/soak/soak-ledger.js'
+import { CallKind } from '../../src/standin/platform-call.js'
 
 function judged (kind: CallKind, runs: number, status: number | null, fault: string | null = null): string[] {
   const ledger = new SoakLedger()
