--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -22,7 +22,7 @@
 
 const prompt = (dispatch: Dispatch): boolean => dispatch.prefillOnly === true
 
-function play (options: { route?: Partial<Route>, places?: Array<Placement | RefusedPlacement>, slack?: number, answer: (dispatch: Dispatch, number: number) => Script }): Play {
+function play (options: { route?: Partial<Route>, places?: Array<Placement | RefusedPlacement>, slack?: number, leavesWhenRead?: boolean, answer: (dispatch: Dispatch, number: number) => Script }): Play {
   const nowMs = (): number => performance.now()
   const backends = new BackendTable({ nowMs })
   backends.put(backend({ id: 'p1', service: 'model', stage: Stage.Prefill, address: '10.0.0.9:80' }))
@@ -31,7 +31,10 @@
   const places = options.places ?? [{ prefill: 'p1', decode: 'd1' }, { prefill: 'p1', decode: 'd2' }]
   const placing: Placing = {
     place: (_pending, excluded) => Promise.resolve(places[excluded.length] ?? { refusal: PlacementRefusal.NoRunner, retryAfterMs: 100, waiting: 0, runs: 0 }),
-    prefilled: (_id, rate) => events.push(rate === null ? 'prompt dropped' : 'prompt read'),
+    prefilled: (_id, rate) => {
+      events.push(rate === null ? 'prompt dropped' : 'prompt read')
+      if (options.leavesWhenRead === true) responder.leave()
+    },
     progress: (_id, eventId) => events.push(`event ${eventId}`),
     failed: (_service, server) => events.push(`failed ${server}`)
   }
@@ -120,10 +123,10 @@
   })
 
   test('frees prompt memory that a caller who left will not use', async () => {
-    const { responder, calls, done } = play({ answer: () => ({ parts: ['h1'] }) })
-    responder.leave()
+    const { calls, done } = play({ leavesWhenRead: true, answer: () => ({ parts: ['h1'] }) })
     await done
     expect(calls.sent.filter((dispatch) => !prompt(dispatch))).toHaveLength(0)
+    expect(calls.freed).toEqual([{ address: '10.0.0.9:80', handle: 'h1' }])
   })
 
   test('refuses truthfully when no place is to be had, and says when to return', async () => {
