Tell returning callers by their prompt, not by their time limit

Cause: requests that arrived for the first time were ranked as late. Late ones wait behind others and in less memory. Ruled out: memory (placed at once in calm seconds), the order of the queue. Change: the desk remembers the prompts that it refused and when they were first asked for; a return is known by its prompt, whose id every attempt repeats. Both new tests fail on the code before.

--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -7,6 +7,8 @@
   maxOutputTokens: number
   /** The caller's estimate of the output, or null. */
   estimatedOutputTokens: number | null
+  /** Names the caller's own part of the prompt, also when the caller returns with a new request id; null if it did not say. */
+  promptId: string | null
 }
 
 /** One attempt of a caller, read whole. */
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -36,6 +36,7 @@
       failureDomain: z.string(),
       promptTokens: z.number(),
       output,
+      promptId: z.string().nullable(),
       objectiveLeftMs: z.number(),
       patienceMs: z.number()
     })
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -143,14 +143,14 @@
   #requestOf (pending: PendingRequest): PlacementRequest {
     const { request, route, service } = pending
     const work = request.work
-    const objectiveLeftMs = route.targetLatencyMs - pending.ageMs() - lateness(pending)
     return {
       id: request.id,
       service,
       failureDomain: this.#options.failureDomain,
       promptTokens: work?.promptTokens ?? 0,
       output: { estimateTokens: work?.estimatedOutputTokens ?? null, maxTokens: work?.maxOutputTokens ?? 0 },
-      objectiveLeftMs,
+      promptId: work?.promptId ?? null,
+      objectiveLeftMs: route.targetLatencyMs - pending.ageMs(),
       patienceMs: Math.min(PATIENCE_SHARE * giveUpMs(route) - START_TIME_MS, WAITING_SHARE * pending.leftMs())
     }
   }
@@ -238,11 +238,6 @@
   return Math.max(GIVE_UP_MS, GIVE_UP_OBJECTIVES * targetLatencyMs, GIVE_UP_PAUSES * longestPauseMs)
 }
 
-/** How long ago the caller's first attempt was, from the time that a returning caller has left. */
-function lateness ({ request, route }: PendingRequest): number {
-  return request.deadlineMs === null ? 0 : Math.max(0, route.timeoutMs - request.deadlineMs)
-}
-
 type DeskHandlers = { [K in PeerDatagramKind]?: (desk: PlacementDesk, message: Extract<PeerDatagram, { kind: K }>) => void }
 
 /** What the keeper's desk does with each message that needs no answer. */
--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -4,6 +4,7 @@
 import type { RunMemory } from './memory-forecast.js'
 import { expectedRemaining, type OutputLength } from './output-length.js'
 import { type Decide, type Placement, PlacementRefusal, type PlacementRequest, type RefusedPlacement, type RunReport } from './placement.js'
+import { RefusedPrompts } from './refused-prompts.js'
 import type { RequestMix } from './role-balance.js'
 import { RunnerPool } from './runner-pool.js'
 
@@ -71,6 +72,8 @@
   request: PlacementRequest
   decide: Decide
   arrivedMs: number
+  /** When the caller asked first; before this attempt arrived if an earlier one was refused. */
+  firstAskedMs: number
   objectiveMs: number
   expiresMs: number
 }
@@ -95,6 +98,7 @@
   readonly #options: PlacementDeskOptions
   readonly #runs = new Map<string, Run>()
   readonly #waiting = new Map<string, Waiting>()
+  readonly #refusedPrompts: RefusedPrompts
   readonly #prefillRates = new Map<string, number>()
   readonly #restUntilMs = new Map<string, number>()
   readonly #mixes = new Map<string, { requests: number, promptTokens: number, outputTokens: number, msPerToken: number }>()
@@ -103,6 +107,7 @@
 
   constructor (options: PlacementDeskOptions) {
     this.#options = options
+    this.#refusedPrompts = new RefusedPrompts({ nowMs: options.nowMs })
   }
 
   get waitingCount (): number {
@@ -127,7 +132,8 @@
       return false
     }
     this.#noteRequest(request)
-    this.#waiting.set(request.id, { request, decide, arrivedMs: nowMs, objectiveMs: nowMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs })
+    const firstAskedMs = this.#refusedPrompts.firstAskedMs(request.promptId) ?? nowMs
+    this.#waiting.set(request.id, { request, decide, arrivedMs: nowMs, firstAskedMs, objectiveMs: firstAskedMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs })
     this.placeWaiting()
     return this.#waiting.has(request.id)
   }
@@ -187,11 +193,12 @@
     for (const [id, run] of this.#runs) if (nowMs - run.reportedMs > REPORT_LIFETIME_MS) this.#runs.delete(id)
     this.placeWaiting()
     const withoutRunner = new Map<string, boolean>()
-    for (const [id, { request: { service }, decide, expiresMs }] of this.#waiting) {
+    for (const [id, { request: { service, promptId }, decide, expiresMs, firstAskedMs }] of this.#waiting) {
       const impossible = withoutRunner.get(service) ?? !this.#hasDecode(service)
       withoutRunner.set(service, impossible)
       if (!impossible && nowMs < expiresMs) continue
       this.#waiting.delete(id)
+      this.#refusedPrompts.add(promptId, firstAskedMs)
       decide(this.#refused(impossible ? PlacementRefusal.NoRunner : PlacementRefusal.Overloaded))
     }
   }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -7,7 +7,9 @@
   failureDomain: string
   promptTokens: number
   output: OutputLength
-  /** Time left until the first event is late; negative for a request that is late already. */
+  /** Same for each attempt of a caller at the same work; null if unknown. */
+  promptId: string | null
+  /** Time left until the first event of this attempt is late. */
   objectiveLeftMs: number
   /** How long the request may wait here before it is refused. */
   patienceMs: number
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -109,7 +109,7 @@
     ['a path without a route', '/none/x', () => 'silent']
   ] as Array<[string, string, () => Script]>)('explains %s from its lines', async (_name, path, answer) => {
     const { gateway, log } = serving(answer)
-    const work = path.startsWith('/stream') ? { promptTokens: 500, maxOutputTokens: 900, estimatedOutputTokens: null } : null
+    const work = path.startsWith('/stream') ? { promptTokens: 500, maxOutputTokens: 900, estimatedOutputTokens: null, promptId: null } : null
     gateway.serve(callerRequest({ path, target: path, arrivedMs: LISTENING_MS, work }), new RecordingResponder())
     await settle()
     expect(log.lines.filter((line) => line.includes('request=q1'))).toMatchSnapshot()
--- a/test/gateway/placement-client.test.ts
+++ b/test/gateway/placement-client.test.ts
@@ -45,7 +45,7 @@
     log,
     age: (ms) => { agedMs += ms },
     pending: new PendingRequest({
-      request: callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 5000, maxOutputTokens: 9000, estimatedOutputTokens: 5000 } }),
+      request: callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 5000, maxOutputTokens: 9000, estimatedOutputTokens: 5000, promptId: null } }),
       route: route({ kind: RouteKind.Streaming, timeoutMs: 5000, targetLatencyMs: 900 }),
       service: 'model',
       responder,
@@ -127,6 +127,16 @@
     expect(play.log.lines).toEqual([])
   })
 
+  test('does not take a caller with a short time limit for one that returns', async () => {
+    const play = fixture(['10.0.0.2'], ({ client }, _ip, message) => {
+      if (message.kind === PeerDatagramKind.Place) client.answered({ kind: PeerDatagramKind.Placed, id: message.request.id, prefill: null, decode: 'd1' })
+    })
+    play.pending.request.deadlineMs = 4000
+    await play.client.place(play.pending, [])
+    const asked = play.sent.map(({ message }) => message).find((message) => message.kind === PeerDatagramKind.Place)
+    expect(asked?.request.objectiveLeftMs).toBeGreaterThan(800)
+  })
+
   test('withdraws a request that waits at the keeper when its caller leaves', async () => {
     const play = fixture(['10.0.0.2'], ({ client, responder }, _ip, message) => {
       if (message.kind !== PeerDatagramKind.Place) return
--- a/test/gateway/placement-desk.test.ts
+++ b/test/gateway/placement-desk.test.ts
@@ -28,6 +28,7 @@
       failureDomain: 'a',
       promptTokens: 5000,
       output: { estimateTokens: 5000, maxTokens: 9000 },
+      promptId: null,
       objectiveLeftMs: 900,
       patienceMs: 650,
       ...options
@@ -91,6 +92,23 @@
     expect([...desk.decisions.keys()][0]).toBe('fresh')
   })
 
+  test('a caller that returns after a refusal is late, whatever its new id and its time limit, and goes behind a new one', () => {
+    const desk = fixture([prefill('p')])
+    desk.backends.put(decode('d1'))
+    desk.desk.learnFor(100)
+    desk.ask('first', { promptId: 'p1', patienceMs: 50 })
+    desk.clock.ms = 60
+    desk.desk.tick()
+    expect(desk.decisions.get('first')).toMatchObject({ refusal: PlacementRefusal.Overloaded })
+    desk.clock.ms = 1500
+    desk.desk.learnFor(100)
+    desk.ask('returned', { promptId: 'p1' })
+    desk.ask('new', { promptId: 'p2' })
+    desk.clock.ms = 1601
+    desk.desk.tick()
+    expect([...desk.decisions.keys()].slice(1)).toEqual(['new', 'returned'])
+  })
+
   test('frees memory when a run ends, when nobody reports it any more, and when its runner is gone', () => {
     const desk = fixture([decode('d1')])
     desk.ask('a')
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -40,7 +40,7 @@
   }
   const calls = new ScriptedCalls(options.answer)
   const responder = new RecordingResponder()
-  const request = callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 100, maxOutputTokens: 100, estimatedOutputTokens: null } })
+  const request = callerRequest({ arrivedMs: nowMs(), work: { promptTokens: 100, maxOutputTokens: 100, estimatedOutputTokens: null, promptId: null } })
   const pending = new PendingRequest({
     request,
     route: route({ kind: RouteKind.Streaming, attempts: 1, timeoutMs: 3000, ...options.route }),
--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -42,7 +42,7 @@
 describe('createCallerListener', () => {
   test('decodes what a caller says and drops headers that only the system may set', async () => {
     let seen: CallerRequest | undefined
-    await converse('POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 900\r\nX-Token-Counts: 1460,80\r\nX-Length-Hint: 55\r\nLast-Event-Id: 7\r\nX-Stage: decode\r\nX-Hold: h\r\nKv-Fetch: 1.1.1.1:1\r\nX-Expect-Instance: i\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Model: m\r\nContent-Length: 2\r\n\r\nok', {
+    await converse('POST /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\nX-Deadline-Ms: 900\r\nX-Token-Counts: 1460,80\r\nX-Length-Hint: 55\r\nX-Prompt-Prefix: 5c1e07a2:800,e4402b7d:660\r\nLast-Event-Id: 7\r\nX-Stage: decode\r\nX-Hold: h\r\nKv-Fetch: 1.1.1.1:1\r\nX-Expect-Instance: i\r\nConnection: close, X-Mine\r\nX-Mine: 1\r\nX-Model: m\r\nContent-Length: 2\r\n\r\nok', {
       serve: (request, responder) => {
         seen = request
         responder.refuse(GatewayRefusal.NoServer, 250)
