Track the speed of runs in small steps and say what a refused request lacked

Change: one report moves the speed by 0.2 percent, whatever it shows; a refusal names decode memory or prefill as what was short.

--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -42,7 +42,7 @@
 type Decision = Placement | RefusedPlacement
 
 /** Settles the question of a request that has ended meanwhile; nobody reads it. */
-const CALLER_LEFT: RefusedPlacement = { refusal: PlacementRefusal.Overloaded, retryAfterMs: 0, waiting: 0, runs: 0 }
+const CALLER_LEFT: RefusedPlacement = { refusal: PlacementRefusal.CallerLeft, retryAfterMs: 0, waiting: 0, runs: 0 }
 
 interface OwnRun extends RunReport {
   tokensPerEvent: number
--- a/src/gateway/placement-desk.ts
+++ b/src/gateway/placement-desk.ts
@@ -26,7 +26,7 @@
 /** Share of that speed at which decode runners read prompts. */
 const SELF_READ_SPEED = 0.5
 
-/** Weight of one more request in the averages of prompts, outputs and speeds. */
+/** Weight of one more request in the averages of prompts and outputs. */
 const MIX_WEIGHT = 0.05
 
 /** Requests after which the averages mean something. */
@@ -35,6 +35,9 @@
 /** Time for each token of a run until reports have shown it, in milliseconds. */
 const INITIAL_MS_PER_TOKEN = 0.75
 
+/** Factor by which one report of a run moves the time for each token towards what it shows; a stalled runner's reports must not pass for the usual speed. */
+const SPEED_STEP = 1.002
+
 /** Shortest time between two reports from which a speed is taken, in milliseconds. */
 const SPEED_SPAN_MS = 100
 
@@ -56,6 +59,8 @@
 /** Added to the rank of late requests: above every time in milliseconds. */
 const LATE_RANK = 2 ** 50
 
+type Shortage = PlacementRefusal.NoMemory | PlacementRefusal.PrefillBusy
+
 interface Run {
   service: string
   decode: string
@@ -102,6 +107,8 @@
   readonly #prefillRates = new Map<string, number>()
   readonly #restUntilMs = new Map<string, number>()
   readonly #mixes = new Map<string, { requests: number, promptTokens: number, outputTokens: number, msPerToken: number }>()
+  /** What the first waiting request of a service lacked in the last look for places. */
+  readonly #shortages = new Map<string, Shortage>()
   #learnsUntilMs = -Infinity
   #lastPassMs = -Infinity
 
@@ -199,7 +206,7 @@
       if (!impossible && nowMs < expiresMs) continue
       this.#waiting.delete(id)
       this.#refusedPrompts.add(promptId, firstAskedMs)
-      decide(this.#refused(impossible ? PlacementRefusal.NoRunner : PlacementRefusal.Overloaded))
+      decide(this.#refused(impossible ? PlacementRefusal.NoRunner : this.#shortages.get(service) ?? PlacementRefusal.NoMemory))
     }
   }
 
@@ -231,21 +238,24 @@
     for (const { waiting: { request, decide }, onTime } of ranked.sort((a, b) => precedence(a) - precedence(b))) {
       const run = this.#place(request, pool, onTime ? 1 : LATE_PART)
       // A request that finds no room keeps its turn: smaller ones behind it must not starve it.
-      if (run === null) return
+      if (typeof run === 'string') {
+        this.#shortages.set(service, run)
+        return
+      }
       this.#waiting.delete(request.id)
       this.#runs.set(request.id, run)
       decide({ prefill: run.prefill, decode: run.decode })
     }
   }
 
-  #place (request: PlacementRequest, pool: RunnerPool, part: number): Run | null {
+  #place (request: PlacementRequest, pool: RunnerPool, part: number): Run | Shortage {
     const { service, promptTokens, output } = request
     const memoryTokens = this.#options.engine(service)?.memoryTokens ?? 0
     const memory: RunMemory = { heldTokens: promptTokens, remainingTokens: expectedRemaining(output, 0) }
     const decode = pool.chooseDecode(memory, memoryTokens * (this.#options.fill?.() ?? MEMORY_FILL) * part)
-    if (decode === null) return null
+    if (decode === null) return PlacementRefusal.NoMemory
     const prefill = pool.choosePrefill(decode.backend, PREFILL_BACKLOG_MS)
-    if (prefill === 'busy') return null
+    if (prefill === 'busy') return PlacementRefusal.PrefillBusy
     const prefillStartMs = pool.add(memory, decode, prefill)
     return {
       service,
@@ -350,7 +360,7 @@
     const made = madeTokens - run.madeTokens
     const spanMs = nowMs - run.reportedMs
     if (known === undefined || run.madeTokens === 0 || made <= 0 || spanMs < SPEED_SPAN_MS) return
-    known.msPerToken += (spanMs / made - known.msPerToken) * MIX_WEIGHT
+    known.msPerToken *= spanMs / made > known.msPerToken ? SPEED_STEP : 1 / SPEED_STEP
   }
 
   /** Forgets what is known of runners that are gone. */
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -26,8 +26,12 @@
   NoRunner = 'no-runner',
   /** Larger than the memory of every runner. */
   TooLarge = 'too-large',
-  /** No memory came free in time. */
-  Overloaded = 'overloaded'
+  /** No decode runner had memory for the run in time. */
+  NoMemory = 'no-memory',
+  /** Decode memory was free, but no prefill runner could read the prompt in time. */
+  PrefillBusy = 'prefill-busy',
+  /** The caller left before the decision. */
+  CallerLeft = 'caller-left'
 }
 
 export interface RefusedPlacement {
--- a/test/gateway/placement-desk.test.ts
+++ b/test/gateway/placement-desk.test.ts
@@ -70,7 +70,7 @@
     desk.desk.tick()
     const refused = [...desk.decisions.values()].filter((decision) => 'refusal' in decision)
     expect(refused).toHaveLength(40 - placed)
-    expect(refused[0]).toMatchObject({ refusal: PlacementRefusal.Overloaded })
+    expect(refused[0]).toMatchObject({ refusal: PlacementRefusal.NoMemory })
   })
 
   test('starts no more prompts than a prefill runner reads soon, so that the order stays with the desk', () => {
@@ -99,7 +99,7 @@
     desk.ask('first', { promptId: 'p1', patienceMs: 50 })
     desk.clock.ms = 60
     desk.desk.tick()
-    expect(desk.decisions.get('first')).toMatchObject({ refusal: PlacementRefusal.Overloaded })
+    expect(desk.decisions.get('first')).toMatchObject({ refusal: PlacementRefusal.NoMemory })
     desk.clock.ms = 1500
     desk.desk.learnFor(100)
     desk.ask('returned', { promptId: 'p1' })
@@ -109,6 +109,27 @@
     expect([...desk.decisions.keys()].slice(1)).toEqual(['new', 'returned'])
   })
 
+  test('does not take the stalled runs of a failing runner for the usual speed, which decides on roles', () => {
+    const desk = fixture([prefill('p'), decode('d1')])
+    desk.ask('a')
+    const report = (madeTokens: number): void => desk.desk.report([{ id: 'a', service: 'model', decode: 'd1', promptTokens: 5000, output: { estimateTokens: 5000, maxTokens: 9000 }, madeTokens }])
+    report(73)
+    const before = desk.desk.mix('model')?.msPerToken ?? 0
+    for (let made = 74; made < 94; made += 1) {
+      desk.clock.ms += 300
+      report(made)
+    }
+    expect((desk.desk.mix('model')?.msPerToken ?? 0) / before).toBeLessThan(1.1)
+  })
+
+  test('says whether decode memory or prefill was short', () => {
+    const desk = fixture([prefill('p'), decode('d1')])
+    for (let request = 0; request < 6; request += 1) desk.ask(`r${request}`, { patienceMs: 10 })
+    desk.clock.ms = 20
+    desk.desk.tick()
+    expect(desk.decisions.get('r5')).toMatchObject({ refusal: PlacementRefusal.PrefillBusy })
+  })
+
   test('frees memory when a run ends, when nobody reports it any more, and when its runner is gone', () => {
     const desk = fixture([decode('d1')])
     desk.ask('a')
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -130,7 +130,7 @@
   })
 
   test('refuses truthfully when no place is to be had, and says when to return', async () => {
-    const { responder, calls, done } = play({ places: [{ refusal: PlacementRefusal.Overloaded, retryAfterMs: 900, waiting: 0, runs: 0 }], answer: () => stream })
+    const { responder, calls, done } = play({ places: [{ refusal: PlacementRefusal.NoMemory, retryAfterMs: 900, waiting: 0, runs: 0 }], answer: () => stream })
     await done
     expect(calls.sent).toHaveLength(0)
     expect(responder).toMatchObject({ refusal: 'overloaded' })
