--- a/src/adapters/completion-handler.ts
+++ b/src/adapters/completion-handler.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Board } from '../board/board.js'
 import type { Event } from '../core/event.js'
 import { acceptsWork } from '../drain/accepting.js'
--- a/src/adapters/decode-stream.ts
+++ b/src/adapters/decode-stream.ts
@@ -1,7 +1,7 @@
 import { createInterface } from 'node:readline'
 import type { Readable } from 'node:stream'
 import { request as httpRequest } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { workId } from '../board/model-request.js'
 import type { Event } from '../core/event.js'
 import type { StartDecode } from '../requests/request-action.js'
--- a/src/adapters/engine-schemas.ts
+++ b/src/adapters/engine-schemas.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { StreamStage } from '../accounts/account-event.js'
 import { RunnerRole } from '../board/backend-server.js'
 
--- a/src/adapters/http-call.ts
+++ b/src/adapters/http-call.ts
@@ -1,5 +1,5 @@
 import { Agent, request } from 'undici'
-import { z } from 'zod'
+import * as z from 'zod'
 import { Err, Ok, type Result } from '../errors/result.js'
 import { saysLeaving } from './leaving-answer.js'
 import { StageFailure } from '../requests/request-event.js'
--- a/src/adapters/instance-list-client.ts
+++ b/src/adapters/instance-list-client.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { RunnerRole, ServerKind, ServerState } from '../board/backend-server.js'
 import type { Event } from '../core/event.js'
 import { type ListedInstance, type ListedServer, ServerEventKind } from '../placement/server-event.js'
--- a/src/adapters/key-recorder.ts
+++ b/src/adapters/key-recorder.ts
@@ -1,5 +1,5 @@
 import { createHash } from 'node:crypto'
-import { z } from 'zod'
+import * as z from 'zod'
 import type { Identity } from '../board/identity.js'
 import { CallOutcome } from '../calls/call-event.js'
 import { KEY_LIFETIME_MS } from '../calls/key-issue.js'
--- a/src/admin/admin-routes.ts
+++ b/src/admin/admin-routes.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { Err, Ok, type Result } from '../errors/result.js'
 import { type OperationFault, operationFault, OperationFaultKind } from '../errors/operation-fault.js'
 import { AdminRole } from '../settings/admin-settings.js'
--- a/src/admin/instance-status.ts
+++ b/src/admin/instance-status.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { callJson } from '../adapters/http-call.js'
 
 const TIMEOUT_MS = 2000
--- a/src/admin/openapi.ts
+++ b/src/admin/openapi.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { operationFaultDescriptions } from '../errors/operation-fault.js'
 import type { AdminRoute } from './admin-route.js'
 
--- a/src/bundles/bundle.ts
+++ b/src/bundles/bundle.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,63}$/)
 
--- a/src/bundles/signed-bundle.ts
+++ b/src/bundles/signed-bundle.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { Err, Ok, type Result } from '../errors/result.js'
 import type { TrustedKey } from '../settings/entry-settings.js'
 import type { Bundle } from './bundle.js'
--- a/src/demo/demo.ts
+++ b/src/demo/demo.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from 'node:crypto'
 import meow from 'meow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { BundleOperations } from '../admin/bundle-operations.js'
 import { callJson } from '../adapters/http-call.js'
 import { EtcdKeyValue } from '../adapters/etcd-key-value.js'
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,7 +1,8 @@
-import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const SECONDS_BUCKETS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20]
 const MS_PER_SECOND = 1000
+const MICROSECONDS_PER_SECOND = 1_000_000
 
 /** Metrics of one gateway process, in a registry of its own. */
 export class GatewayMetrics {
@@ -11,10 +12,12 @@
   readonly configurationVersion: Gauge
   readonly droppedLines: Counter
   readonly inFlight: Gauge
+  // The library's default metrics start a timer that wakes the process a hundred times a second, so only these two are kept.
+  readonly processorSeconds: Counter
+  readonly residentBytes: Gauge
 
   constructor (options: { inFlight?: () => number } = {}) {
     const registers = [this.registry]
-    collectDefaultMetrics({ register: this.registry })
     this.ends = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.duration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: SECONDS_BUCKETS, registers })
     this.configurationVersion = new Gauge({ name: 'daisybarrow_gateway_configuration_version', help: 'Version of the configuration in force', registers })
@@ -25,6 +28,17 @@
       registers,
       collect () { this.set(options.inFlight?.() ?? 0) }
     })
+    this.processorSeconds = new Counter({
+      name: 'process_cpu_seconds_total',
+      help: 'Processor time spent in seconds',
+      registers,
+      collect () {
+        const { user, system } = process.cpuUsage()
+        this.reset()
+        this.inc((user + system) / MICROSECONDS_PER_SECOND)
+      }
+    })
+    this.residentBytes = new Gauge({ name: 'process_resident_memory_bytes', help: 'Resident memory in bytes', registers, collect () { this.set(process.memoryUsage.rss()) } })
   }
 
   countEnd (kind: string, ending: string, ageMs: number): void {
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const address = z.string().regex(/^[^:]+:\d+$/).describe('IP number and port')
 
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -1,5 +1,5 @@
 import { decode, encode } from 'cbor-x'
-import { z } from 'zod'
+import * as z from 'zod'
 import { PlacementRefusal } from './placement.js'
 
 export enum PeerDatagramKind {
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -1,7 +1,7 @@
 import { decode, encode } from 'cbor-x'
-import { request } from 'undici'
 import type { Backend } from './backend.js'
 import type { Configuration } from './configuration.js'
+import { controlCall } from './control-call.js'
 import type { Gateway } from './gateway.js'
 
 export const SNAPSHOT_PATH = '/snapshot'
@@ -22,8 +22,7 @@
 }
 
 export async function fetchSnapshot (ip: string, port: number): Promise<PeerSnapshot> {
-  const answer = await request(`http://${ip}:${port}${SNAPSHOT_PATH}`, { signal: AbortSignal.timeout(SNAPSHOT_TIMEOUT_MS) })
-  const bytes = Buffer.from(await answer.body.arrayBuffer())
-  if (answer.statusCode !== 200) throw new Error(`status ${answer.statusCode} of ${ip}`)
+  const { status, bytes } = await controlCall({ address: `${ip}:${port}`, method: 'GET', target: SNAPSHOT_PATH, timeoutMs: SNAPSHOT_TIMEOUT_MS })
+  if (status !== 200) throw new Error(`status ${status} of ${ip}`)
   return decode(bytes) as PeerSnapshot
 }
--- a/src/measure/key-recording.ts
+++ b/src/measure/key-recording.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { EtcdKeyValue } from '../adapters/etcd-key-value.js'
 import { callJson } from '../adapters/http-call.js'
 import { ClaimResult, KeyRecorder } from '../adapters/key-recorder.js'
--- a/src/programs/standin.ts
+++ b/src/programs/standin.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 import meow from 'meow'
-import { z } from 'zod'
+import * as z from 'zod'
 import { formatFaults, loadSettings } from '../settings/load-settings.js'
 import { Engine } from '../standin/engine.js'
 import { engineOptionsSchema } from '../standin/engine-options.js'
--- a/src/settings/admin-settings.ts
+++ b/src/settings/admin-settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { listenerSchema } from './listener.js'
 import { operatorFields } from './operator-settings.js'
 
--- a/src/settings/entry-settings.ts
+++ b/src/settings/entry-settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { PlacementPolicy } from '../board/board.js'
 import { listenerSchema, peerListenerSchema } from './listener.js'
 
--- a/src/settings/listener.ts
+++ b/src/settings/listener.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Files of a TLS certificate; read again when they change. */
 export const tlsSchema = z.strictObject({
--- a/src/settings/operator-settings.ts
+++ b/src/settings/operator-settings.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { trustedKeysSchema } from './entry-settings.js'
 
 /** Settings that the command line and the administration API share. */
--- a/src/settings/settings-reference.ts
+++ b/src/settings/settings-reference.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 import { adminSettingsSchema } from './admin-settings.js'
 import { entrySettingsSchema } from './entry-settings.js'
 
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -117,7 +117,7 @@
       graceS: 8,
       repeats: { ratio: 0.2, slack: 60, windowS: 10 }
     }))
-    const child = spawn(process.execPath, ['target/platform/main.js'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, ['target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this.#options.folder, `${ip}.log`), { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
--- a/src/standin/engine-options.ts
+++ b/src/standin/engine-options.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 export const engineOptionsSchema = z.strictObject({
   id: z.string(),
