--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -53,7 +53,6 @@
   announce: (ip: string) => Promise<StoreFault | null>
   /** Writes the record of orders if it still has the revision known; the new revision is the order's fencing number. */
   recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, knownRevision: number) => Promise<{ revision: number } | StoreFault>
-  withdraw: (ip: string) => Promise<StoreFault | null>
 }
 
 export function isStoreFault (result: StoreListing | StoreFault): result is StoreFault {
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -29,7 +29,7 @@
 /** The process ends this long before it would be killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400
 
-/** Time for an announced withdrawal and the last bytes of answers before the process ends, in milliseconds. */
+/** Time for the last bytes of answers before the process ends, in milliseconds. */
 const LAST_BYTES_MS = 50
 
 const MS_PER_SECOND = 1000
@@ -123,9 +123,6 @@
   log.info('instance.stopping', { inFlight: gateway.inFlight })
   gateway.stop()
   follower.stop()
-  void options.store.withdraw(settings.ip).then((fault) => {
-    if (fault !== null) log.warn('withdraw.failed', { detail: fault.detail })
-  })
   const startedMs = performance.now()
   await delay(ACCEPT_AFTER_STOP_MS)
   gateway.refuseNew()
--- a/src/gateway/store-follower.ts
+++ b/src/gateway/store-follower.ts
@@ -64,10 +64,14 @@
       if (isStoreFault(listing)) return listing
       this.#revision = listing.revision
       this.#options.onListing(listing)
-      if (this.#announced) return null
+      // The entry stays over a restart: each write would wake the watch of every other instance.
+      this.#announced = listing.changes.some((change) => change.kind === StoreChangeKind.Instance && change.ip === this.#options.ip)
+      return null
+    }
+    if (!this.#announced) {
       const fault = await store.announce(this.#options.ip)
-      this.#announced = fault === null
-      return fault
+      if (fault !== null) return fault
+      this.#announced = true
     }
     const changes = await store.watch(this.#revision, WATCH_WAIT_MS)
     if (this.#stopped) return null
@@ -81,15 +85,10 @@
   #take (change: StoreChange, revision: number): void {
     this.#options.onChange(change, revision)
     if (change.kind === StoreChangeKind.InstanceRemoved && change.ip === this.#options.ip && !this.#stopped) {
-      void this.#announceAgain()
+      this.#announced = false
     }
   }
 
-  async #announceAgain (): Promise<void> {
-    const fault = await this.#options.store.announce(this.#options.ip)
-    if (fault !== null) this.#options.log.warn('announce.failed', { detail: fault.detail })
-  }
-
   #succeeded (): void {
     this.#pauseMs = FIRST_PAUSE_MS
     if (this.#reached === true) return
--- a/test/gateway/store-follower.test.ts
+++ b/test/gateway/store-follower.test.ts
@@ -7,14 +7,14 @@
 const historyLost: StoreFault = { kind: StoreFaultKind.HistoryLost, detail: 'compacted' }
 
 /** Follows a store whose watches give the scripted results in turn and then wait for ever. */
-async function follow (watches: Array<StoreListing | StoreFault>): Promise<{ events: string[], announced: number, lines: string[] }> {
+async function follow (watches: Array<StoreListing | StoreFault>, { listed = [], announcements = [] }: { listed?: StoreChange[], announcements?: Array<StoreFault | null> } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
   const events: string[] = []
   let announced = 0
   let revision = 10
   let finish = (): void => {}
   const played = new Promise<void>((resolve) => { finish = resolve })
   const store: PlatformStore = {
-    list: () => Promise.resolve({ revision: revision++, changes: [] }),
+    list: () => Promise.resolve({ revision: revision++, changes: listed }),
     watch: (after) => {
       events.push(`watch after ${after}`)
       const result = watches.shift()
@@ -24,10 +24,9 @@
     },
     announce: () => {
       announced += 1
-      return Promise.resolve(null)
+      return Promise.resolve(announcements.shift() ?? null)
     },
-    recordOrder: () => Promise.resolve({ revision: 1 }),
-    withdraw: () => Promise.resolve(null)
+    recordOrder: () => Promise.resolve({ revision: 1 })
   }
   const log = recordingLog()
   const follower = new StoreFollower({
@@ -56,6 +55,11 @@
     expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'lost', 'watch after 10', 'listing 11', 'reached', 'watch after 11'])
   })
 
+  test('writes nothing when its entry is there already, and tries again when the write failed', async () => {
+    expect((await follow([], { listed: [{ kind: StoreChangeKind.Instance, ip: '1' }] })).announced).toBe(0)
+    expect((await follow([], { announcements: [unreachable] })).announced).toBe(2)
+  })
+
   test('announces itself again when its entry was taken away', async () => {
     const { announced } = await follow([{ revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
     expect(announced).toBe(2)
