Reload settings while running, use no server with an unreadable entry, note lengths of answers

Change: seeds, orderTurnMs, graceS, addressLifetimeS and repeats take effect at once, on SIGHUP or when the file changes (looked for each 5 s); others are named as waiting for the next start. request.ended carries estimatedTokens and madeTokens. Tests: gateway.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { RoleOrders } from './role-orders.js'
 import { chooseService, RouteTable } from './route-table.js'
 import { ServerHealth } from './server-health.js'
+import { applySettings } from './settings-reload.js'
 import { packSightings, unpackSightings } from './sightings.js'
 import { type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { forwardStream, type StreamForwarding } from './stream-forwarding.js'
@@ -34,8 +35,6 @@
 /** Known instances named in each heartbeat, so that the knowledge of new ones spreads without the store. */
 const NAMED_IN_HEARTBEAT = 4
 
-const MS_PER_SECOND = 1000
-
 interface GatewayOptions {
   settings: GatewaySettings
   calls: BackendPort
@@ -82,7 +81,7 @@
     this.#health = new ServerHealth({ nowMs })
     const engine = (service: string): Engine | null => this.#routes?.service(service)?.engine ?? null
     this.#desk = new PlacementDesk({ nowMs, backends: this.backends, engine, expected: settings.expectedRequest, isChanging: (id) => this.#roles.isChanging(id), onWaiting: () => this.onWaiting() })
-    this.orders = new OrderAuthority({ store: options.store, holder: settings.id, turnMs: settings.orderTurnMs, log, nowMs })
+    this.orders = new OrderAuthority({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
     this.#roles = new RoleOrders({
       backends: this.backends,
       calls: options.calls,
@@ -110,7 +109,7 @@
       backends: this.backends,
       calls: options.calls,
       health: this.#health,
-      repeats: new RepeatBudget({ nowMs, ratio: settings.repeats.ratio, slack: settings.repeats.slack, windowMs: settings.repeats.windowS * MS_PER_SECOND, instances: () => this.instances.knownCount() }),
+      repeats: new RepeatBudget({ nowMs, allowance: () => settings.repeats, instances: () => this.instances.knownCount() }),
       failureDomain: settings.failureDomain,
       log,
       nowMs,
@@ -171,13 +170,23 @@
     handler(this, change)
   }
 
+  /** Puts changed settings in force. */
+  reload (next: GatewaySettings): void {
+    const { settings, log } = this.#options
+    const { applied, waiting } = applySettings(settings, next)
+    for (const ip of settings.seeds) this.instances.name(ip)
+    if (applied.length + waiting.length > 0) log.info('settings.reloaded', { applied: applied.join() || 'none', atNextStart: waiting.join() || 'none' })
+  }
+
   noteOrder (service: string, record: OrderRecord): void {
     this.orders.see(service, record)
     if (record.holder !== this.#options.settings.id) this.#roles.noteOrderOfOther(record.server)
   }
 
-  logUnreadable (key: string, detail: string): void {
+  takeUnreadable ({ key, detail, backendId }: Extract<StoreChange, { kind: StoreChangeKind.Unreadable }>): void {
     this.#options.log.warn('store.unreadable', { key, detail })
+    // What it said before is overwritten: nothing tells whether the server is still there.
+    if (backendId !== null) this.backends.remove(backendId)
   }
 
   /** Takes what a peer that reaches the store knows. */
@@ -373,5 +382,5 @@
   // An instance is taken for gone only when it falls silent: its key may have been taken away while it serves.
   [StoreChangeKind.InstanceRemoved]: () => {},
   [StoreChangeKind.OrderRecord]: (gateway, { service, record }) => gateway.noteOrder(service, record),
-  [StoreChangeKind.Unreadable]: (gateway, { key, detail }) => gateway.logUnreadable(key, detail)
+  [StoreChangeKind.Unreadable]: (gateway, change) => gateway.takeUnreadable(change)
 }
--- a/src/gateway/order-authority.ts
+++ b/src/gateway/order-authority.ts
@@ -20,7 +20,7 @@
   store: PlatformStore
   holder: string
   /** Holders may not take turns within this time, in milliseconds. */
-  turnMs: number
+  turnMs: () => number
   log: Log
   nowMs: () => number
 }
@@ -48,7 +48,7 @@
   mayTry (service: string): boolean {
     const known = this.#records.get(service)
     if (known === undefined || known.holder === this.#options.holder) return true
-    return this.#options.nowMs() - known.seenMs > this.#options.turnMs + TAKEOVER_MARGIN_MS
+    return this.#options.nowMs() - known.seenMs > this.#options.turnMs() + TAKEOVER_MARGIN_MS
   }
 
   /** A number for one order that is to be sent at once; null if this instance may not give one. */
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -209,7 +209,10 @@
     const { id, service, promptTokens, output } = request
     const tokensPerEvent = this.#options.engine(service)?.tokensPerEvent ?? 1
     this.#runs.set(id, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, keeper })
-    pending.onStop(() => this.#release(id))
+    pending.onStop(() => {
+      pending.note({ estimatedTokens: output.estimateTokens ?? 'none', madeTokens: this.#runs.get(id)?.madeTokens ?? 0 })
+      this.#release(id)
+    })
     return decision
   }
 
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -10,7 +10,7 @@
   InstanceRemoved = 'instance-removed',
   /** Who may give orders to the runners of a service. */
   OrderRecord = 'order-record',
-  /** An entry that can't be read; it names nothing to use. */
+  /** An entry that can't be read; it names nothing to use, also if it named a server before. */
   Unreadable = 'unreadable'
 }
 
@@ -22,7 +22,7 @@
   | { kind: StoreChangeKind.Instance, ip: string }
   | { kind: StoreChangeKind.InstanceRemoved, ip: string }
   | { kind: StoreChangeKind.OrderRecord, service: string, record: OrderRecord }
-  | { kind: StoreChangeKind.Unreadable, key: string, detail: string }
+  | { kind: StoreChangeKind.Unreadable, key: string, detail: string, backendId: string | null }
 
 export interface StoreListing {
   revision: number
--- a/src/gateway/repeat-budget.ts
+++ b/src/gateway/repeat-budget.ts
@@ -1,13 +1,20 @@
 /** Share of the allowed repeats that is used; the rest covers instances whose windows or views differ. */
 const USED_SHARE = 0.7
 
-interface RepeatBudgetOptions {
-  nowMs: () => number
+const MS_PER_SECOND = 1000
+
+interface RepeatAllowance {
   /** Repeats allowed for each request of a service. */
   ratio: number
   /** Repeats allowed to all instances together in one window, besides the ratio. */
   slack: number
-  windowMs: number
+  windowS: number
+}
+
+interface RepeatBudgetOptions {
+  nowMs: () => number
+  /** Read at each use, as it may change while the instance runs. */
+  allowance: () => RepeatAllowance
   /** Instances that share the slack. */
   instances: () => number
 }
@@ -34,7 +41,8 @@
   /** Takes one repeat; false if the part is spent. */
   take (service: string): boolean {
     const counts = this.#counts(service)
-    const allowed = USED_SHARE * (this.#options.ratio * counts.requests.length + this.#options.slack / Math.max(1, this.#options.instances()))
+    const { ratio, slack } = this.#options.allowance()
+    const allowed = USED_SHARE * (ratio * counts.requests.length + slack / Math.max(1, this.#options.instances()))
     if (counts.repeats.length + 1 > allowed) return false
     counts.repeats.push(this.#options.nowMs())
     return true
@@ -43,7 +51,7 @@
   #counts (service: string): Counts {
     const counts = this.#services.get(service) ?? { requests: [], repeats: [] }
     this.#services.set(service, counts)
-    const sinceMs = this.#options.nowMs() - this.#options.windowMs
+    const sinceMs = this.#options.nowMs() - this.#options.allowance().windowS * MS_PER_SECOND
     dropBefore(counts.requests, sinceMs)
     dropBefore(counts.repeats, sinceMs)
     return counts
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -1,9 +1,11 @@
+import { watchFile } from 'node:fs'
 import type { Server } from 'node:http'
 import type { Log } from '../logs/log.js'
+import { formatFaults, loadSettings } from '../settings/load-settings.js'
 import type { CallerLimits } from './configuration.js'
 import type { Gateway } from './gateway.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
-import type { GatewaySettings } from './gateway-settings.js'
+import { type GatewaySettings, gatewaySettingsSchema } from './gateway-settings.js'
 import type { HttpExchanges } from './http-exchange.js'
 import { HEARTBEAT_MS } from './instance-table.js'
 import { createMetricsListener, createPeerListener } from './peer-listener.js'
@@ -20,6 +22,9 @@
 /** The same while none waits, in milliseconds: each look costs a wake-up on every instance. */
 const IDLE_TICK_MS = 100
 
+/** Time between looks at the settings file, in milliseconds: it may change without a signal, but rarely. */
+const SETTINGS_CHECK_MS = 5000
+
 /** Time between looks for a peer with newer knowledge, in milliseconds. */
 const CATCH_UP_MS = 300
 
@@ -37,6 +42,7 @@
 interface RunOptions {
   gateway: Gateway
   settings: GatewaySettings
+  settingsFile: string
   store: PlatformStore
   exchanges: HttpExchanges
   callers: Server
@@ -72,10 +78,18 @@
   void follower.run()
   log.info('instance.started', { failureDomain: settings.failureDomain, callers: listeners.callers, seeds: settings.seeds.length })
   process.on('SIGTERM', () => { void stop(options, follower) })
-  process.on('SIGHUP', () => log.info('settings.changed', { detail: 'settings take effect at the next start' }))
+  process.on('SIGHUP', () => reload(options))
+  watchFile(options.settingsFile, { interval: SETTINGS_CHECK_MS }, () => reload(options))
   return { send: (ips, message) => peers.send(ips, message) }
 }
 
+/** Reads the settings anew; settings with faults change nothing. */
+function reload ({ gateway, log, settingsFile }: RunOptions): void {
+  const loaded = loadSettings(settingsFile, gatewaySettingsSchema)
+  if (loaded.err) log.error('settings.invalid', { detail: formatFaults(loaded.val).replaceAll('\n', ' ') })
+  else gateway.reload(loaded.val)
+}
+
 function listen (server: Server, address: string): void {
   const [host, port] = address.split(':')
   server.listen({ host, port: Number(port), backlog: 1024 })
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -5,8 +5,8 @@
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
-import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
-import type { PlatformStore } from '../../src/gateway/platform-store.js'
+import { type GatewaySettings, gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
+import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
 import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type Script, ScriptedCalls } from './gateway-fixtures.js'
 
 const LISTENING_MS = 1000
@@ -15,6 +15,7 @@
   gateway: Gateway
   log: ReturnType<typeof recordingLog>
   clock: { ms: number }
+  settings: GatewaySettings
 }
 
 function instance (answer: () => Script = () => 'silent'): Fixture {
@@ -38,7 +39,7 @@
     nowMs: () => clock.ms,
     random: () => 0
   })
-  return { gateway, log, clock }
+  return { gateway, log, clock, settings }
 }
 
 /** An instance with a configuration, one plain server and one decode runner. */
@@ -64,6 +65,24 @@
 }
 
 describe('Gateway', () => {
+  test('puts changed settings in force without a restart, and says which of them wait for one', () => {
+    const { gateway, log, settings } = instance()
+    gateway.reload({ ...settings, graceS: 5, repeats: { ...settings.repeats, slack: 20 }, storeAddress: '10.9.0.2:1', seeds: ['10.0.0.7'] })
+    expect(settings).toMatchObject({ graceS: 5, repeats: { slack: 20 }, storeAddress: '10.9.0.1:1' })
+    expect(gateway.instances.named()).toEqual(['10.0.0.7'])
+    expect(log.lines.at(-1)).toBe('settings.reloaded applied=seeds,graceS,repeats atNextStart=storeAddress')
+    const before = log.lines.length
+    gateway.reload(settings)
+    expect(log.lines).toHaveLength(before)
+  })
+
+  test('uses no server whose entry another writer has made unreadable', () => {
+    const { gateway } = serving()
+    const [known] = gateway.backends.all()
+    gateway.takeChange({ kind: StoreChangeKind.Unreadable, key: `servers/${known?.id}`, detail: 'no JSON', backendId: known?.id ?? '' }, 13)
+    expect(gateway.backends.get(known?.id ?? '')).toBeUndefined()
+  })
+
   test('refuses as not run until it has a configuration, and 404 only for a route that the newest one lacks', () => {
     const { gateway } = instance()
     const early = new RecordingResponder()
--- a/test/gateway/role-orders.test.ts
+++ b/test/gateway/role-orders.test.ts
@@ -43,7 +43,7 @@
   for (const id of ['p1', 'p2', 'p3']) backends.put(runner(id, Stage.Prefill))
   for (const id of ['d1', 'd2', 'd3']) backends.put(runner(id, Stage.Decode))
   const calls = new ScriptedCalls(() => 'silent')
-  const authority = new OrderAuthority({ store: { recordOrder: store.write(clock) } as PlatformStore, holder, turnMs: TURN_MS, log, nowMs })
+  const authority = new OrderAuthority({ store: { recordOrder: store.write(clock) } as PlatformStore, holder, turnMs: () => TURN_MS, log, nowMs })
   const roles = new RoleOrders({ backends, calls, authority, holder, mix: () => mix, load: () => 0, log, nowMs })
   const pass = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += 500) {
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -52,7 +52,7 @@
     backends,
     calls,
     health: new ServerHealth({ nowMs }),
-    repeats: new RepeatBudget({ nowMs, ratio: 0, slack: options.slack ?? 100, windowMs: 1000, instances: () => 1 }),
+    repeats: new RepeatBudget({ nowMs, allowance: () => ({ ratio: 0, slack: options.slack ?? 100, windowS: 1 }), instances: () => 1 }),
     failureDomain: 'a',
     log: recordingLog(),
     nowMs,
