Explain a request from the log lines of all instances

Change: daisybarrow explain ID FILE... prints the lines of the request, those of its servers and of its instance around it, and what its ending means. No gateway code changes.

--- a/src/programs/daisybarrow.ts
+++ b/src/programs/daisybarrow.ts
@@ -6,6 +6,7 @@
 import { BundleOperations } from '../admin/bundle-operations.js'
 import { type Command, ExitCode, UsageError } from '../admin/command.js'
 import { fleetCommands } from '../admin/fleet-commands.js'
+import { logCommands } from '../admin/log-commands.js'
 import { formatFaults, loadSettings } from '../settings/load-settings.js'
 import { type OperatorSettings, operatorSettingsSchema } from '../settings/operator-settings.js'
 
@@ -21,6 +22,7 @@
     $ daisybarrow bundle keygen --key-id ID --out FILE
     $ daisybarrow status [--operators HOST:PORT ...]
     $ daisybarrow state --operators HOST:PORT
+    $ daisybarrow explain REQUEST-ID LOG-FILE...
 
   Options
     --settings   JSON settings file: keyValueUrl, trustedKeys, operators, instanceListUrl
@@ -74,7 +76,10 @@
   }
 }
 
-const [group, name, ...rest] = cli.input
-const command = group === 'bundle' ? bundleCommands[name ?? ''] : fleetCommands[group ?? '']
+const [group = '', ...words] = cli.input
+const groups: Record<string, Record<string, Command>> = { bundle: bundleCommands }
+const [command, input] = groups[group] === undefined
+  ? [{ ...fleetCommands, ...logCommands }[group], words]
+  : [groups[group][words[0] ?? ''], words.slice(1)]
 if (command === undefined) cli.showHelp(ExitCode.Usage)
-else await run(command, rest)
+else await run(command, input)
--- /dev/null
+++ b/test/gateway/control-call.test.ts
@@ -0,0 +1,56 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { once } from 'node:events'
+import { Agent, createServer, type RequestListener, type Server } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { controlCall } from '../../src/gateway/control-call.js'
+
+let server: Server | undefined
+
+afterEach(() => {
+  server?.closeAllConnections()
+  server?.close()
+})
+
+async function serve (listener: RequestListener): Promise<string> {
+  server = createServer(listener)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+describe('controlCall', () => {
+  test('sends JSON and returns any status with the whole body', async () => {
+    const seen: string[] = []
+    const address = await serve((request, response) => {
+      request.on('data', (chunk: Buffer) => seen.push(`${request.method} ${request.url} ${request.headers['content-type']} ${chunk.toString()}`))
+      request.on('end', () => response.writeHead(412).end('{"items":[]}'))
+    })
+    const { status, bytes } = await controlCall({ address, method: 'POST', target: '/v1/kv-txn', body: { a: 1 }, timeoutMs: 1000 })
+    expect([status, bytes.toString(), ...seen]).toEqual([412, '{"items":[]}', 'POST /v1/kv-txn application/json {"a":1}'])
+  })
+
+  test('gives up an answer that stops on the way, which would otherwise block the follower of the store', async () => {
+    const address = await serve((_request, response) => { response.writeHead(200, { 'Content-Length': 10 }).write('half') })
+    await expect(controlCall({ address, method: 'GET', target: '/', timeoutMs: 100 })).rejects.toThrow('no answer within 100 ms')
+  })
+
+  test('rejects when the answer breaks off', async () => {
+    const address = await serve((_request, response) => {
+      response.writeHead(200, { 'Content-Length': 10 }).write('half')
+      setTimeout(() => response.destroy(), 10)
+    })
+    await expect(controlCall({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow()
+  })
+
+  test('uses the connections of an agent again', async () => {
+    const ports = new Set<number | undefined>()
+    const address = await serve((request, response) => {
+      ports.add(request.socket.remotePort)
+      response.end('ok')
+    })
+    const agent = new Agent({ keepAlive: true, maxSockets: 1 })
+    for (let call = 0; call < 3; call += 1) await controlCall({ address, method: 'GET', target: '/', timeoutMs: 1000, agent })
+    agent.destroy()
+    expect(ports.size).toBe(1)
+  })
+})
