--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -9,9 +9,31 @@
   missingSinceMs: number | null
 }
 
+/** How this instance learned of a change of a server. */
+export enum ServerSource {
+  /** A change of the store. */
+  Watch = 'watch',
+  /** A listing of the store. */
+  Listing = 'listing',
+  /** The snapshot of a peer. */
+  Snapshot = 'snapshot',
+  /** Its entry has been missing for too long. */
+  Expiry = 'expiry'
+}
+
+/** Why a server should get no new requests. */
+export enum Staleness {
+  Leaving = 'leaving',
+  /** Its entry has disappeared around an outage of the store. */
+  Missing = 'missing',
+  Removed = 'removed',
+  Restarted = 'restarted'
+}
+
 export interface BackendChange {
   kind: 'added' | 'changed-role' | 'leaving' | 'missing' | 'removed' | 'restarted'
   backend: BackendServer
+  source: ServerSource
 }
 
 interface BackendTableOptions {
@@ -39,35 +61,35 @@
   }
 
   /** Applies a complete list of the servers and removes those that are not in it. */
-  replaceAll (backends: BackendServer[]): void {
+  replaceAll (backends: BackendServer[], source = ServerSource.Listing): void {
     const listed = new Set(backends.map(({ id }) => id))
-    for (const backend of backends) this.put(backend)
-    for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id)
+    for (const backend of backends) this.put(backend, source)
+    for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, source)
   }
 
-  put (backend: BackendServer): void {
+  put (backend: BackendServer, source = ServerSource.Watch): void {
     this.changeCount += 1
     const previous = this.#entries.get(backend.id)
     this.#entries.set(backend.id, { backend, missingSinceMs: null })
-    if (previous === undefined) return this.#notify('added', backend)
-    if (incarnationOf(previous.backend) !== incarnationOf(backend)) return this.#notify('restarted', backend)
-    if (previous.backend.stage !== backend.stage) this.#notify('changed-role', backend)
-    if (previous.backend.state === ServerState.Ready && backend.state === ServerState.Leaving) this.#notify('leaving', backend)
+    if (previous === undefined) return this.#notify('added', backend, source)
+    if (incarnationOf(previous.backend) !== incarnationOf(backend)) return this.#notify('restarted', backend, source)
+    if (previous.backend.stage !== backend.stage) this.#notify('changed-role', backend, source)
+    if (previous.backend.state === ServerState.Ready && backend.state === ServerState.Leaving) this.#notify('leaving', backend, source)
   }
 
   /** Removes a server whose entry was deleted. Around an outage of the store, a ready server is kept until expire() removes it. */
-  remove (id: string): void {
+  remove (id: string, source = ServerSource.Watch): void {
     const entry = this.#entries.get(id)
     if (entry === undefined) return
     const nowMs = this.#options.nowMs()
     const mayReturn = nowMs < this.#graceUntilMs && entry.backend.state === ServerState.Ready
     if (!mayReturn) {
       this.#entries.delete(id)
-      return this.#notify('removed', entry.backend)
+      return this.#notify('removed', entry.backend, source)
     }
     if (entry.missingSinceMs === null) {
       entry.missingSinceMs = nowMs
-      this.#notify('missing', entry.backend)
+      this.#notify('missing', entry.backend, source)
     }
   }
 
@@ -78,7 +100,7 @@
     for (const [id, { backend, missingSinceMs }] of this.#entries) {
       if (missingSinceMs === null) continue
       this.#entries.delete(id)
-      this.#notify('removed', backend)
+      this.#notify('removed', backend, ServerSource.Expiry)
     }
   }
 
@@ -101,8 +123,17 @@
     return current !== undefined && current.state === ServerState.Ready && incarnationOf(current) === incarnationOf(backend)
   }
 
-  #notify (kind: BackendChange['kind'], backend: BackendServer): void {
+  /** Why a server should not get new requests; null if its entry exists and is ready. */
+  staleness (backend: BackendServer): Staleness | null {
+    const entry = this.#entries.get(backend.id)
+    if (entry === undefined) return Staleness.Removed
+    if (incarnationOf(entry.backend) !== incarnationOf(backend)) return Staleness.Restarted
+    if (entry.backend.state === ServerState.Leaving) return Staleness.Leaving
+    return entry.missingSinceMs === null ? null : Staleness.Missing
+  }
+
+  #notify (kind: BackendChange['kind'], backend: BackendServer, source: ServerSource): void {
     this.changeCount += 1
-    this.#options.onChange?.({ kind, backend })
+    this.#options.onChange?.({ kind, backend, source })
   }
 }
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -3,6 +3,7 @@
 import { type BackendClient, type SendOptions, ResponseMeaning } from './backend-client.js'
 import type { BackendTable } from './backend-table.js'
 import { countsAsAttempt, ExchangeOutcome, provesNotRun, mayTryOtherServer } from './exchange-outcome.js'
+import type { GatewayMetrics } from './gateway-metrics.js'
 import { type ResponseHead, isFailure } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 import { GatewayRefusal } from './refusal.js'
@@ -17,6 +18,7 @@
   retryBudget: RetryBudget
   failureDomain: string
   log: Log
+  metrics: Pick<GatewayMetrics, 'staleSends'>
   nowMs: () => number
   random: () => number
 }
@@ -36,6 +38,7 @@
 export async function sendToServer (context: ForwardingContext, pending: PendingRequest, options: SendOptions): Promise<SendResult> {
   const { backendClient, health } = context
   const startedMs = context.nowMs()
+  logStaleSend(context, pending, options)
   health.recordStart(options.backend)
   const exchange = pending.cancelOnEnd(backendClient.send(options))
   const head = await exchange.head
@@ -55,6 +58,14 @@
   return result
 }
 
+/** Logs a send to a server that left after it was chosen, or whose entry is missing. */
+function logStaleSend ({ backends, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): void {
+  const state = backends.staleness(backend)
+  if (state === null) return
+  metrics.staleSends.inc()
+  log.warn('send.stale', { request: pending.request.id, route: pending.route.name, server: backend.id, prefill: prefillOnly === true, state, ageMs: Math.round(pending.ageMs()) })
+}
+
 /** Records a failure of the server that had not finished the request when its time ran out. A caller's disconnect is not the server's fault. */
 export function chargeAtTimeout ({ health }: ForwardingContext, pending: PendingRequest, backend: BackendServer): void {
   if (pending.timedOut) health.recordFailure(backend, ExchangeOutcome.TimedOut)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type { Log } from '../logs/log.js'
 import { type BackendServer, incarnationOf } from './backend.js'
 import type { BackendClient } from './backend-client.js'
-import { BackendTable, type BackendChange, REREGISTRATION_GRACE_MS } from './backend-table.js'
+import { BackendTable, type BackendChange, REREGISTRATION_GRACE_MS, ServerSource } from './backend-table.js'
 import type { CallerRequest, Responder } from './caller-request.js'
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
@@ -129,6 +129,7 @@
       log,
       nowMs,
       random: options.random,
+      metrics: options.metrics,
       placer: this.#placementClient,
       quarantine: this.quarantine
     }
@@ -218,7 +219,7 @@
     this.#storeRevision = revision
     this.#snapshotRevision = revision
     this.#hasListing = true
-    this.backends.replaceAll(backends)
+    this.backends.replaceAll(backends, ServerSource.Snapshot)
     this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length })
   }
 
@@ -391,8 +392,8 @@
     }
   }
 
-  #onBackendChange ({ kind, backend }: BackendChange): void {
-    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, revision: this.#storeRevision })
+  #onBackendChange ({ kind, backend, source }: BackendChange): void {
+    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, source, revision: this.#storeRevision })
     if (kind === 'removed' || kind === 'restarted') this.#scheduler.removeRunner(backend)
     const all = this.backends.all()
     this.#health.retain(new Set(all.map(incarnationOf)))
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import { ServerState } from '../../src/gateway/backend.js'
-import { BackendTable, REREGISTRATION_GRACE_MS } from '../../src/gateway/backend-table.js'
+import { BackendTable, REREGISTRATION_GRACE_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { backend } from './gateway-fixtures.js'
 
 function createTable (): { table: BackendTable, clock: { ms: number }, changes: string[] } {
@@ -48,6 +48,21 @@
     expect(table.get('b1')).toBeUndefined()
   })
 
+  test('tells why a server should get no new requests', () => {
+    const { table } = createTable()
+    const server = backend()
+    expect(table.staleness(server)).toBe(Staleness.Removed)
+    table.put(server)
+    expect(table.staleness(server)).toBeNull()
+    table.startReregistrationGrace()
+    table.remove('b1')
+    expect(table.staleness(server)).toBe(Staleness.Missing)
+    table.put(backend({ state: ServerState.Leaving }))
+    expect(table.staleness(server)).toBe(Staleness.Leaving)
+    table.put(backend({ startedAtMs: 2 }))
+    expect(table.staleness(server)).toBe(Staleness.Restarted)
+  })
+
   test('reports a restart under the same id and accepts no work for the previous incarnation', () => {
     const { table, changes } = createTable()
     const before = backend()
--- a/test/gateway/plain-forwarding.test.ts
+++ b/test/gateway/plain-forwarding.test.ts
@@ -3,6 +3,7 @@
 import { BackendTable } from '../../src/gateway/backend-table.js'
 import { type Route, RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { PendingRequest } from '../../src/gateway/pending-request.js'
 import { forwardPlain } from '../../src/gateway/plain-forwarding.js'
 import { RetryBudget } from '../../src/gateway/retry-budget.js'
@@ -37,6 +38,7 @@
     failureDomain: 'a',
     log,
     nowMs,
+    metrics: new GatewayMetrics(),
     random: () => 0
   }, pending)
   return { responder, backendClient, log, pending, done }
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -5,6 +5,7 @@
 import { type Route, RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import { PromptQuarantine } from '../../src/gateway/prompt-quarantine.js'
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { PendingRequest } from '../../src/gateway/pending-request.js'
 import { type Placement, PlacementRefusal, type RefusedPlacement } from '../../src/gateway/placement.js'
 import type { Placer } from '../../src/gateway/placer.js'
@@ -59,6 +60,7 @@
     failureDomain: 'a',
     log,
     nowMs,
+    metrics: new GatewayMetrics(),
     random: () => 0,
     placer,
     quarantine: options.quarantine ?? new PromptQuarantine({ nowMs, log: recordingLog() })
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -5,6 +5,7 @@
 import { BackendTable } from '../../src/gateway/backend-table.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
+import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { PendingRequest } from '../../src/gateway/pending-request.js'
 import { forwardPlain } from '../../src/gateway/plain-forwarding.js'
 import { PromptQuarantine } from '../../src/gateway/prompt-quarantine.js'
@@ -91,6 +92,7 @@
     failureDomain: 'a',
     log,
     nowMs,
+    metrics: new GatewayMetrics(),
     random: () => 0,
     quarantine: new PromptQuarantine({ nowMs, log }),
     placer: {
