Tell peers which servers are missing instead of sending them as ready

Callers' requests reached a server 3.1 s after it had said that it leaves (DRAIN, bound 2 s).

Cause: around an outage of the store an instance keeps a ready server whose entry has disappeared. The peer took it for a server whose entry exists, even if it had removed it itself before.

Ruled out for this case: a check too early (the request came 3 s after) and stopping instances (none).

The test fails without the change (staleness null instead of missing and removed). Instances of older versions ignore the new field.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -3,6 +3,13 @@
 /** Time that servers whose entries disappeared around an outage of the store have to register again, in milliseconds; the platform promises that they do within about two seconds. */
 export const REREGISTRATION_GRACE_MS = 2000
 
+/** A ready server whose entry has disappeared around an outage of the store. */
+export interface MissingServer {
+  id: string
+  /** Time since its entry disappeared, in milliseconds. */
+  ageMs: number
+}
+
 interface BackendEntry {
   backend: BackendServer
   /** When the entry disappeared around an outage of the store, in milliseconds; null while the entry exists. */
@@ -61,10 +68,19 @@
   }
 
   /** Applies a complete list of the servers and removes those that are not in it. */
-  replaceAll (backends: BackendServer[], source = ServerSource.Listing): void {
+  replaceAll (backends: BackendServer[]): void {
     const listed = new Set(backends.map(({ id }) => id))
-    for (const backend of backends) this.put(backend, source)
-    for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, source)
+    for (const backend of backends) this.put(backend, ServerSource.Listing)
+    for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, ServerSource.Listing)
+  }
+
+  /** Applies the snapshot of a peer. What the peer does not list is gone; what it misses is not known to be back. */
+  replaceBySnapshot (present: BackendServer[], missing: MissingServer[]): void {
+    const nowMs = this.#options.nowMs()
+    const known = new Set([...present, ...missing].map(({ id }) => id))
+    for (const backend of present) this.put(backend, ServerSource.Snapshot)
+    for (const { id, ageMs } of missing) this.#markMissing(id, nowMs - ageMs, ServerSource.Snapshot)
+    for (const [id, { backend }] of this.#entries) if (!known.has(id)) this.#delete(backend, ServerSource.Snapshot)
   }
 
   put (backend: BackendServer, source = ServerSource.Watch): void {
@@ -82,26 +98,30 @@
     const entry = this.#entries.get(id)
     if (entry === undefined) return
     const nowMs = this.#options.nowMs()
-    const mayReturn = nowMs < this.#graceUntilMs && entry.backend.state === ServerState.Ready
-    if (!mayReturn) {
-      this.#entries.delete(id)
-      return this.#notify('removed', entry.backend, source)
-    }
-    if (entry.missingSinceMs === null) {
-      entry.missingSinceMs = nowMs
-      this.#notify('missing', entry.backend, source)
-    }
+    if (nowMs < this.#graceUntilMs) this.#markMissing(id, nowMs, source)
+    else this.#delete(entry.backend, source)
+  }
+
+  /** Marks a ready server as missing since `sinceMs`, or earlier if it already is; removes a leaving one. */
+  #markMissing (id: string, sinceMs: number, source: ServerSource): void {
+    const entry = this.#entries.get(id)
+    if (entry === undefined) return
+    if (entry.backend.state !== ServerState.Ready) return this.#delete(entry.backend, source)
+    const wasPresent = entry.missingSinceMs === null
+    entry.missingSinceMs = Math.min(sinceMs, entry.missingSinceMs ?? Infinity)
+    if (wasPresent) this.#notify('missing', entry.backend, source)
+  }
+
+  #delete (backend: BackendServer, source: ServerSource): void {
+    this.#entries.delete(backend.id)
+    this.#notify('removed', backend, source)
   }
 
   /** Removes the servers that have not registered again after an outage of the store; does nothing before the grace period has ended. */
   expire (): void {
     const nowMs = this.#options.nowMs()
     if (nowMs < this.#graceUntilMs) return
-    for (const [id, { backend, missingSinceMs }] of this.#entries) {
-      if (missingSinceMs === null) continue
-      this.#entries.delete(id)
-      this.#notify('removed', backend, ServerSource.Expiry)
-    }
+    for (const { backend, missingSinceMs } of this.#entries.values()) if (missingSinceMs !== null) this.#delete(backend, ServerSource.Expiry)
   }
 
   get (id: string): BackendServer | undefined {
@@ -112,6 +132,16 @@
     return [...this.#entries.values()].map(({ backend }) => backend)
   }
 
+  /** The servers whose entries exist. */
+  present (): BackendServer[] {
+    return [...this.#entries.values()].filter(({ missingSinceMs }) => missingSinceMs === null).map(({ backend }) => backend)
+  }
+
+  missing (): MissingServer[] {
+    const nowMs = this.#options.nowMs()
+    return [...this.#entries.values()].flatMap(({ backend: { id }, missingSinceMs }) => missingSinceMs === null ? [] : [{ id, ageMs: nowMs - missingSinceMs }])
+  }
+
   /** Servers of a service that may get new requests. */
   ready (service: string, stage: RunnerRole = RunnerRole.None): BackendServer[] {
     return this.all().filter((backend) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type { Log } from '../logs/log.js'
 import { type BackendServer, incarnationOf } from './backend.js'
 import type { BackendClient } from './backend-client.js'
-import { BackendTable, type BackendChange, REREGISTRATION_GRACE_MS, ServerSource } from './backend-table.js'
+import { BackendTable, type BackendChange, REREGISTRATION_GRACE_MS } from './backend-table.js'
 import type { CallerRequest, Responder } from './caller-request.js'
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
@@ -10,6 +10,7 @@
 import { InstanceTable, type InstanceStatus } from './instance-table.js'
 import { OrderTokenIssuer, type OrderRecord } from './order-token-issuer.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
+import type { PeerSnapshot } from './peer-snapshot.js'
 import { PendingRequest } from './pending-request.js'
 import { schedulerHandlers, PlacementClient } from './placement-client.js'
 import { MEMORY_FILL_SHARE, PlacementScheduler } from './placement-scheduler.js'
@@ -213,14 +214,14 @@
   }
 
   /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its store revision is newer. */
-  applyPeerSnapshot (from: string, revision: number, configuration: Configuration | null, backends: BackendServer[]): void {
+  applyPeerSnapshot (from: string, { revision, configuration, backends, missing = [] }: PeerSnapshot): void {
     if (configuration !== null) this.applyConfiguration(configuration, from)
     if (revision <= this.#storeRevision) return
     this.#storeRevision = revision
     this.#snapshotRevision = revision
     this.#hasListing = true
-    this.backends.replaceAll(backends, ServerSource.Snapshot)
-    this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length })
+    this.backends.replaceBySnapshot(backends, missing)
+    this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length, missing: missing.length })
   }
 
   /** Records whether the store can be reached. Once it is reached again, servers that have not registered again are removed after REREGISTRATION_GRACE_MS. */
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -2,7 +2,7 @@
 import { gunzip, gzipSync } from 'node:zlib'
 import { decode, encode } from 'cbor-x'
 import type { BackendServer } from './backend.js'
-import type { BackendTable } from './backend-table.js'
+import type { BackendTable, MissingServer } from './backend-table.js'
 import type { Configuration } from './configuration.js'
 import { sendControlRequest, type Transfer } from './control-request.js'
 
@@ -20,6 +20,9 @@
 /** Longest transfer of a snapshot, in milliseconds. */
 const SNAPSHOT_TRANSFER_TIMEOUT_MS = 2500
 
+/** Time for which an encoded snapshot with missing servers is reused, in milliseconds: the ages in it become wrong. */
+const MAX_AGE_ERROR_MS = 50
+
 /** Largest decompressed snapshot, in bytes. */
 const MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 
@@ -29,20 +32,23 @@
 export interface PeerSnapshot {
   revision: number
   configuration: Configuration | null
+  /** The servers whose entries exist. */
   backends: BackendServer[]
+  /** Servers that the instance keeps although their entries have disappeared. Peers of older versions have them among `backends`. */
+  missing?: MissingServer[]
 }
 
 /** The state of an instance that its snapshots contain. */
 export interface SnapshotSource {
   storeRevision: number
   configuration: Configuration | null
-  backends: Pick<BackendTable, 'all' | 'changeCount'>
+  backends: Pick<BackendTable, 'present' | 'missing' | 'changeCount'>
 }
 
 /** Encodes the snapshots of one instance. An encoding is reused until the state changes, since many peers may fetch it at once. */
 export class SnapshotEncoder {
   readonly #source: SnapshotSource
-  #encoded: { revision: number, configuration: Configuration | null, changeCount: number, plain: Buffer, compressed: Buffer } | null = null
+  #encoded: { revision: number, configuration: Configuration | null, changeCount: number, expiresMs: number, plain: Buffer, compressed: Buffer } | null = null
 
   constructor (options: { source: SnapshotSource }) {
     this.#source = options.source
@@ -60,10 +66,12 @@
     const { storeRevision: revision, configuration, backends } = this.#source
     const { changeCount } = backends
     const last = this.#encoded
-    if (last !== null && last.revision === revision && last.configuration === configuration && last.changeCount === changeCount) return last
-    const snapshot: PeerSnapshot = { revision, configuration, backends: backends.all() }
+    if (last !== null && last.revision === revision && last.configuration === configuration && last.changeCount === changeCount && performance.now() < last.expiresMs) return last
+    const missing = backends.missing()
+    const snapshot: PeerSnapshot = { revision, configuration, backends: backends.present(), missing }
     const plain = encode(snapshot)
-    this.#encoded = { revision, configuration, changeCount, plain, compressed: gzipSync(plain, { level: COMPRESSION_LEVEL }) }
+    const expiresMs = missing.length === 0 ? Infinity : performance.now() + MAX_AGE_ERROR_MS
+    this.#encoded = { revision, configuration, changeCount, expiresMs, plain, compressed: gzipSync(plain, { level: COMPRESSION_LEVEL }) }
     return this.#encoded
   }
 }
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -127,7 +127,7 @@
     fetchSnapshot(peer.ip, options.settings.listeners.peerPort)
       .then(({ snapshot, transfer }) => {
         log.info('snapshot.received', { from: peer.ip, revision: snapshot.revision, bytes: transfer.bytes, headMs: Math.round(transfer.headMs), totalMs: Math.round(transfer.totalMs) })
-        gateway.applyPeerSnapshot(peer.ip, snapshot.revision, snapshot.configuration, snapshot.backends)
+        gateway.applyPeerSnapshot(peer.ip, snapshot)
       })
       .catch((error: unknown) => log.warn('snapshot.failed', { from: peer.ip, detail: String(error) }))
       .finally(() => { fetching = false })
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,5 +1,8 @@
 import { describe, expect, test } from '@jest/globals'
+import { once } from 'node:events'
+import type { AddressInfo } from 'node:net'
 import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
+import { Staleness } from '../../src/gateway/backend-table.js'
 import { ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
@@ -7,6 +10,8 @@
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { type GatewaySettings, gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
 import { decodeDatagram, encodeDatagram, type PeerDatagram } from '../../src/gateway/peer-datagram.js'
+import { createPeerListener } from '../../src/gateway/peer-listener.js'
+import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
 import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
 import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
@@ -120,10 +125,10 @@
 
   test('applies the newer configuration of a peer, and its servers only if its store revision is newer', () => {
     const { gateway } = servingInstance()
-    gateway.applyPeerSnapshot('10.0.0.2', 11, configuration({ version: 9 }), [])
+    gateway.applyPeerSnapshot('10.0.0.2', { revision: 11, configuration: configuration({ version: 9 }), backends: [] })
     expect(gateway.configuration?.version).toBe(9)
     expect(gateway.backends.all()).toHaveLength(2)
-    gateway.applyPeerSnapshot('10.0.0.2', 13, null, [backend({ id: 'b9' })])
+    gateway.applyPeerSnapshot('10.0.0.2', { revision: 13, configuration: null, backends: [backend({ id: 'b9' })] })
     expect(gateway.backends.get('b9')).toBeDefined()
   })
 
@@ -140,12 +145,32 @@
     expect(responder.refusal).toBe('crashing-prompt')
   })
 
+  // Guards against requests to a server that has gone: the snapshot of a peer that still kept it made it ready again, for good.
+  test.each([
+    ['known to this instance', false, Staleness.Missing],
+    ['already removed by this instance', true, Staleness.Removed]
+  ])('does not take a server that a peer misses for one that is back: %s', async (_name, removed, expected) => {
+    const peer = servingInstance().gateway
+    const { gateway } = servingInstance()
+    const server = backend()
+    if (removed) gateway.backends.remove(server.id)
+    peer.recordStoreReachability(false)
+    peer.applyListing({ revision: 14, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) }] })
+    const listener = createPeerListener(peer)
+    listener.listen(0, '127.0.0.1')
+    await once(listener, 'listening')
+    const { snapshot } = await fetchSnapshot('127.0.0.1', (listener.address() as AddressInfo).port)
+    listener.close()
+    gateway.applyPeerSnapshot('10.0.0.2', snapshot)
+    expect(gateway.backends.staleness(server)).toBe(expected)
+  })
+
   // Guards against requests to a leaving server: a delayed response of the store made it ready again after a peer's newer snapshot.
   test('ignores the servers of a store response that is older than the snapshot of a peer', () => {
     const { gateway } = servingInstance()
     const ready = backend({ id: 'b5' })
     const leaving = backend({ id: 'b5', state: ServerState.Leaving })
-    gateway.applyPeerSnapshot('10.0.0.2', 20, null, [leaving])
+    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [leaving] })
     gateway.applyChange({ kind: StoreChangeKind.Backend, backend: ready }, 18)
     gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, 19)
     expect(gateway.backends.get('b5')?.state).toBe(ServerState.Leaving)
--- a/test/gateway/peer-snapshot.test.ts
+++ b/test/gateway/peer-snapshot.test.ts
@@ -27,7 +27,7 @@
   const listener = createPeerListener({
     get storeRevision () { return 12 },
     get configuration () { return current() },
-    backends: { all: () => backends, get changeCount () { return backends.length } }
+    backends: { present: () => backends, missing: () => [], get changeCount () { return backends.length } }
   })
   listener.listen(0, '127.0.0.1')
   await once(listener, 'listening')
