--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -378,7 +378,7 @@
 
   /** Whether a response of the store is older than the servers in a peer's snapshot: a slow response may arrive after the snapshot. */
   #isSuperseded (revision: number): boolean {
-    return revision <= this.#snapshotRevision
+    return revision < this.#snapshotRevision
   }
 
   #trackConfigurationLag (): void {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -180,6 +180,14 @@
     expect(gateway.backends.get('b5')).toBeUndefined()
   })
 
+  // Guards against requests to a server that has gone: the listing that no longer had it was ignored after a peer's snapshot.
+  test('applies a listing of the same revision as the snapshot of a peer', () => {
+    const { gateway } = servingInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
+    gateway.applyListing({ revision: 20, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6' }) }] })
+    expect(gateway.backends.all().map(({ id }) => id)).toEqual(['b6'])
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
