Bound the time for which a missing server is used

Callers' requests reached servers that had gone.

Cause: a ready server whose entry disappears around an outage of the store counted as ready until the grace period ended, 2 s after the last failed call, and each further failure began that period anew. The drain time is 2 s as well, and a request still had its prefill and connection ahead of it.

It is used for half of the drain time, until three quarters of it if its service has no other server, and dropped after 2 s as before. drainMs is a new setting, from the platform's settings.

The test of flapping failed before: chosen and accepted until its end.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -3,6 +3,15 @@
 /** Time that servers whose entries disappeared around an outage of the store have to register again, in milliseconds; the platform promises that they do within about two seconds. */
 export const REREGISTRATION_GRACE_MS = 2000
 
+/** Time for which a server still takes requests after it has said that it leaves, unless stated, in milliseconds. */
+const DEFAULT_DRAIN_MS = 2000
+
+/** Share of the drain time for which a missing server is used like any other. It may have left, and other instances may have learned of that earlier. */
+const MISSING_USE_SHARE = 0.5
+
+/** Share of the drain time for which a missing server is used if its service has no other one. */
+const LAST_RESORT_SHARE = 0.75
+
 /** A ready server whose entry has disappeared around an outage of the store. */
 export interface MissingServer {
   id: string
@@ -45,6 +54,8 @@
 
 interface BackendTableOptions {
   nowMs: () => number
+  /** Time for which a server still takes requests after it has said that it leaves, in milliseconds. */
+  drainMs?: () => number
   /** Called for each change of the table. */
   onChange?: (change: BackendChange) => void
 }
@@ -52,14 +63,14 @@
 /** The backend servers and whether they may get new requests. */
 export class BackendTable {
   readonly #entries = new Map<string, BackendEntry>()
-  readonly #options: BackendTableOptions
+  readonly #options: BackendTableOptions & Required<Pick<BackendTableOptions, 'drainMs'>>
   /** Number of changes so far; the same number means the same servers. */
   changeCount = 0
   /** Time until which a missing entry may be caused by an outage of the store, in milliseconds. */
   #graceUntilMs = -Infinity
 
   constructor (options: BackendTableOptions) {
-    this.#options = options
+    this.#options = { drainMs: () => DEFAULT_DRAIN_MS, ...options }
   }
 
   /** Called when the store can't be reached or has just become reachable: ready servers whose entries disappear within REREGISTRATION_GRACE_MS from now are kept, because they may register again. */
@@ -117,11 +128,9 @@
     this.#notify('removed', backend, source)
   }
 
-  /** Removes the servers that have not registered again after an outage of the store; does nothing before the grace period has ended. */
+  /** Removes the servers that have not registered again in time. A further outage of the store does not prolong that time. */
   expire (): void {
-    const nowMs = this.#options.nowMs()
-    if (nowMs < this.#graceUntilMs) return
-    for (const { backend, missingSinceMs } of this.#entries.values()) if (missingSinceMs !== null) this.#delete(backend, ServerSource.Expiry)
+    for (const entry of this.#entries.values()) if (this.#missingMs(entry) >= REREGISTRATION_GRACE_MS) this.#delete(entry.backend, ServerSource.Expiry)
   }
 
   get (id: string): BackendServer | undefined {
@@ -144,13 +153,18 @@
 
   /** Servers of a service that may get new requests. */
   ready (service: string, stage: RunnerRole = RunnerRole.None): BackendServer[] {
-    return this.all().filter((backend) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready)
+    const candidates = [...this.#entries.values()].filter(({ backend }) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready)
+    const drainMs = this.#options.drainMs()
+    const usable = candidates.filter((entry) => this.#missingMs(entry) < MISSING_USE_SHARE * drainMs)
+    const chosen = usable.length > 0 ? usable : candidates.filter((entry) => this.#missingMs(entry) < LAST_RESORT_SHARE * drainMs)
+    return chosen.map(({ backend }) => backend)
   }
 
   /** Whether this incarnation of the server may still get new requests. */
   accepts (backend: BackendServer): boolean {
-    const current = this.get(backend.id)
-    return current !== undefined && current.state === ServerState.Ready && incarnationOf(current) === incarnationOf(backend)
+    const entry = this.#entries.get(backend.id)
+    if (entry === undefined || entry.backend.state !== ServerState.Ready || incarnationOf(entry.backend) !== incarnationOf(backend)) return false
+    return this.#missingMs(entry) < LAST_RESORT_SHARE * this.#options.drainMs()
   }
 
   /** Why a server should not get new requests; null if its entry exists and is ready. */
@@ -162,6 +176,11 @@
     return entry.missingSinceMs === null ? null : Staleness.Missing
   }
 
+  /** Time since the entry disappeared, in milliseconds; -Infinity while it exists. */
+  #missingMs ({ missingSinceMs }: BackendEntry): number {
+    return missingSinceMs === null ? -Infinity : this.#options.nowMs() - missingSinceMs
+  }
+
   #notify (kind: BackendChange['kind'], backend: BackendServer, source: ServerSource): void {
     this.changeCount += 1
     this.#options.onChange?.({ kind, backend, source })
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -25,6 +25,7 @@
     speed: z.number().positive().default(1).describe('Speed of that core, as a multiple of the usual one')
   }).prefault({}).describe('The instances with the largest share times speed coordinate the placement of requests'),
   orderTurnMs: z.number().positive().default(3000).describe('Time within which two instances may not both give orders to a runner, in milliseconds'),
+  drainMs: z.number().positive().default(2000).describe('Time for which a server takes requests after it has said that it leaves, in milliseconds'),
   graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
   addressLifetimeS: z.number().positive().default(2).describe('How long callers may keep an answer of the directory, in seconds'),
   repeats: z.object({
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,7 +1,7 @@
 import type { Log } from '../logs/log.js'
 import { type BackendServer, incarnationOf } from './backend.js'
 import type { BackendClient } from './backend-client.js'
-import { BackendTable, type BackendChange, REREGISTRATION_GRACE_MS } from './backend-table.js'
+import { BackendTable, type BackendChange } from './backend-table.js'
 import type { CallerRequest, Responder } from './caller-request.js'
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
@@ -88,7 +88,7 @@
     this.#options = options
     const { settings, nowMs, log } = options
     this.#startedMs = nowMs()
-    this.backends = new BackendTable({ nowMs, onChange: (change) => this.#onBackendChange(change) })
+    this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, onChange: (change) => this.#onBackendChange(change) })
     this.instances = new InstanceTable({ ip: settings.ip, nowMs, processorShare: settings.processor.share * settings.processor.speed, random: options.random })
     for (const ip of settings.seeds) this.instances.addAddress(ip)
     this.#health = new ServerHealth({ nowMs })
@@ -224,11 +224,10 @@
     this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length, missing: missing.length })
   }
 
-  /** Records whether the store can be reached. Once it is reached again, servers that have not registered again are removed after REREGISTRATION_GRACE_MS. */
+  /** Records whether the store can be reached. */
   recordStoreReachability (reached: boolean): void {
     this.#reachesStore = reached
     this.backends.startReregistrationGrace()
-    if (reached) setTimeout(() => this.backends.expire(), REREGISTRATION_GRACE_MS + 1)
   }
 
   /** A random live peer that has a newer configuration or, while this instance can't reach the store, one that can reach it and has a newer store revision. Undefined if there is no such peer. */
@@ -262,8 +261,9 @@
     this.#suspectExchange.sendReminder(targets)
   }
 
-  /** Updates which services this instance coordinates, rebalances the runner roles of these services and runs a scheduling pass. */
+  /** Removes servers that have been missing for too long, updates which services this instance coordinates, rebalances the runner roles of these services and runs a scheduling pass. */
   tick (): void {
+    this.backends.expire()
     this.#trackConfigurationLag()
     this.#suspectExchange.sendChanges(this.instances.knownAddresses())
     this.#updateCoordinatedServices()
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -40,6 +40,38 @@
     expect(changes.slice(2)).toEqual(['missing b1', 'missing b2', 'removed b1'])
   })
 
+  // Guards against requests to a server that has gone: each failed call to the store prolonged the time for which it was kept.
+  test('stops using a missing server well within the drain time, however often the store is lost again', () => {
+    const { table, clock } = createTable()
+    for (const id of ['b1', 'b2']) table.put(backend({ id }))
+    table.startReregistrationGrace()
+    table.remove('b1')
+    const usedUntilMs: Record<string, number> = {}
+    for (let ms = 0; ms < 3000; ms += 50) {
+      if (ms % 300 === 0) table.startReregistrationGrace()
+      if (table.ready('plain').some(({ id }) => id === 'b1')) usedUntilMs.chosen = ms
+      if (table.accepts(backend())) usedUntilMs.accepted = ms
+      if (table.get('b1') !== undefined) usedUntilMs.known = ms
+      clock.ms += 50
+      table.expire()
+    }
+    expect(usedUntilMs).toEqual({ chosen: 950, accepted: 1450, known: 1950 })
+  })
+
+  // Guards against refusals while all servers register again after an outage of the store.
+  test('uses missing servers for longer while the service has no other one', () => {
+    const { table, clock } = createTable()
+    for (const id of ['b1', 'b2']) table.put(backend({ id }))
+    table.startReregistrationGrace()
+    table.replaceAll([])
+    clock.ms += 1450
+    expect(table.ready('plain')).toHaveLength(2)
+    table.put(backend({ id: 'b2' }))
+    expect(table.ready('plain').map(({ id }) => id)).toEqual(['b2'])
+    clock.ms += 100
+    expect(table.accepts(backend())).toBe(false)
+  })
+
   test('does not keep a server that was leaving when its entry expired in an outage of the store', () => {
     const { table } = createTable()
     table.put(backend({ state: ServerState.Leaving }))
