Keep watching the store while an instance stops

Callers' requests could reach a server long after it had said that it leaves.

Cause: SIGTERM ended the watch of the store, but the instance accepts requests for another 2.7 s and serves them for up to 8 s. Each choice of a server in that time, for a request that waits, is repeated or resumed, was made by a table that no longer changed.

Evidence: a test with the real process, a stand-in store and stand-in servers: of 12 requests sent 0.6 s after a server had left, 5 went to it.

Change: SIGTERM only ends the announcing of the instance's entry; the watch goes on until the process exits. The test passes.

--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -140,7 +140,8 @@
   if (gateway.stopping) return
   log.info('instance.stopping', { inFlight: gateway.inFlight })
   gateway.stop()
-  storeWatcher.stop()
+  // The requests still to be served need the current servers, so the watch goes on.
+  storeWatcher.stopAnnouncing()
   const startedMs = performance.now()
   await delay(ACCEPT_AFTER_STOP_MS)
   gateway.refuseNewRequests()
@@ -148,6 +149,7 @@
   const exitMs = startedMs + settings.graceS * MS_PER_SECOND - EXIT_MARGIN_MS
   while (gateway.inFlight > 0 && performance.now() < exitMs) await delay(FLUSH_DELAY_MS)
   await delay(FLUSH_DELAY_MS)
+  storeWatcher.stop()
   log.info('instance.stopped', { inFlight: gateway.inFlight })
   options.flushLog()
   process.exit(0)
--- a/src/gateway/store-watcher.ts
+++ b/src/gateway/store-watcher.ts
@@ -47,6 +47,8 @@
   #backoffMs = INITIAL_BACKOFF_MS
   /** Whether the store has an entry of this instance. */
   #announced = false
+  /** Whether a lost entry of this instance is written again. */
+  #announces = true
 
   constructor (options: StoreWatcherOptions) {
     this.#options = options
@@ -69,6 +71,11 @@
     }
   }
 
+  /** Goes on watching without writing the entry of this instance again. */
+  stopAnnouncing (): void {
+    this.#announces = false
+  }
+
   stop (): void {
     this.#stopped = true
   }
@@ -87,7 +94,7 @@
       this.#announced = listing.changes.some((change) => change.kind === StoreChangeKind.Instance && change.ip === this.#options.ip)
       return null
     }
-    if (!this.#announced) {
+    if (!this.#announced && this.#announces) {
       const error = await store.announce(this.#options.ip)
       if (error !== null) return error
       this.#announced = true
@@ -112,9 +119,7 @@
 
   #handleChange (change: StoreChange, revision: number): void {
     this.#options.onChange(change, revision)
-    if (change.kind === StoreChangeKind.InstanceRemoved && change.ip === this.#options.ip && !this.#stopped) {
-      this.#announced = false
-    }
+    if (change.kind === StoreChangeKind.InstanceRemoved && change.ip === this.#options.ip) this.#announced = false
   }
 
   #handleSuccess (): void {
