Check just before a request is written whether the server has left

Callers' requests can reach a server later than the drain time after it has said that it leaves.

Cause: a server was checked once, when it was chosen. The prefill of up to 1.5 s, the connection of up to 0.4 s and the second send without the memory of the prompt followed without a check.

Change: agents hand over a connection only once it is established, and just before the request is written the table of servers is asked, on new and kept connections, for plain requests, prefills and decodes. A send that is withheld counts as not sent, so the request goes to another server; the prompt's memory goes with it while the prefill runner keeps it, or is freed.

The tests fail without the change: both of a runner that leaves, and the one of withheld requests on new and kept connections.

--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -19,6 +19,8 @@
   headTimeoutMs: number
   /** Opens a new connection for this request only. */
   ownConnection: boolean
+  /** Asked just before the request is written; if it returns false, the request is not sent. */
+  maySend?: () => boolean
   /** Runs only the prefill, without decoding. */
   prefillOnly?: boolean
   /** KV cache of the prompt, if a prefill runner has computed it. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -38,9 +38,8 @@
 export async function sendToServer (context: ForwardingContext, pending: PendingRequest, options: SendOptions): Promise<SendResult> {
   const { backendClient, health } = context
   const startedMs = context.nowMs()
-  logStaleSend(context, pending, options)
   health.recordStart(options.backend)
-  const exchange = pending.cancelOnEnd(backendClient.send(options))
+  const exchange = pending.cancelOnEnd(backendClient.send({ ...options, maySend: () => maySend(context, pending, options) }))
   const head = await exchange.head
   health.recordEnd(options.backend)
   const result = resultOfHead(context, options, head)
@@ -58,12 +57,12 @@
   return result
 }
 
-/** Logs a send to a server that left after it was chosen, or whose entry is missing. */
-function logStaleSend ({ backends, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): void {
-  const state = backends.staleness(backend)
-  if (state === null) return
+/** Whether the server still accepts requests: it may have left since it was chosen, during the prefill or while the connection was established. */
+function maySend ({ backends, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): boolean {
+  if (backends.accepts(backend)) return true
   metrics.staleSends.inc()
-  log.warn('send.stale', { request: pending.request.id, route: pending.route.name, server: backend.id, prefill: prefillOnly === true, state, ageMs: Math.round(pending.ageMs()) })
+  log.warn('send.stale', { request: pending.request.id, route: pending.route.name, server: backend.id, prefill: prefillOnly === true, state: backends.staleness(backend) ?? 'ready', ageMs: Math.round(pending.ageMs()) })
+  return false
 }
 
 /** Records a failure of the server that had not finished the request when its time ran out. A caller's disconnect is not the server's fault. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -44,7 +44,7 @@
       registers,
       collect () { this.set(options.quarantinedParts?.() ?? 0) }
     })
-    this.staleSends = new Counter({ name: 'daisybarrow_gateway_stale_sends_total', help: 'Sends to servers that had left after they were chosen, or whose entries were missing', registers })
+    this.staleSends = new Counter({ name: 'daisybarrow_gateway_stale_sends_total', help: 'Sends withheld because the server had left after it was chosen', registers })
     this.processorSeconds = new Counter({
       name: 'process_cpu_seconds_total',
       help: 'Processor time spent in seconds',
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -1,5 +1,6 @@
-import { Agent, type IncomingMessage, request as httpRequest, type ClientRequest } from 'node:http'
-import type { Socket } from 'node:net'
+import { Agent, type ClientRequestArgs, type IncomingMessage, request as httpRequest, type ClientRequest } from 'node:http'
+import { connect, type NetConnectOpts, type Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
 import { ExchangeOutcome } from './exchange-outcome.js'
 
 /** Longest wait for a new connection, in milliseconds. Connecting usually takes about 1 ms, and TCP resends a lost SYN only after 1 s. */
@@ -27,6 +28,8 @@
   headTimeoutMs: number
   /** Opens a new connection for this request only, on which no bytes of an earlier response can arrive. */
   ownConnection: boolean
+  /** Asked on an established connection, just before the request is written; if it returns false, the request is not sent. */
+  maySend?: () => boolean
 }
 
 export interface ResponseHead {
@@ -66,6 +69,7 @@
 /** HTTP client with one connection pool for each server address. */
 export class HttpExchangeClient {
   readonly #agents = new Map<string, Agent>()
+  readonly #ownConnections = new ConnectingAgent({ keepAlive: false })
 
   start (request: ExchangeRequest): Exchange {
     const [host, port] = request.address.split(':')
@@ -75,9 +79,9 @@
       method: request.method,
       path: request.target,
       headers: request.headers,
-      agent: request.ownConnection ? false : this.#agentOf(request.address)
+      agent: request.ownConnection ? this.#ownConnections : this.#agentOf(request.address)
     })
-    const head = awaitHead(clientRequest, request.headTimeoutMs)
+    const head = awaitHead(clientRequest, request)
     clientRequest.end(request.body.length > 0 ? request.body : undefined)
     return { head, cancel: () => { clientRequest.destroy() } }
   }
@@ -100,8 +104,26 @@
   }
 }
 
+/** An agent that hands over a connection only once it is established, so that nothing is written before. */
+class ConnectingAgent extends Agent {
+  override createConnection (options: ClientRequestArgs, onCreated?: (error: Error | null, socket: Duplex) => void): undefined {
+    const socket = connect(options as NetConnectOpts)
+    const timer = setTimeout(() => socket.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS)
+    const onEnd = (error: Error): void => {
+      clearTimeout(timer)
+      onCreated?.(error, socket)
+    }
+    socket.once('error', onEnd)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      socket.removeListener('error', onEnd)
+      onCreated?.(null, socket)
+    })
+  }
+}
+
 /** An agent that closes an idle connection when bytes arrive on it, since they would be taken for the response to the next request. */
-class IdleCheckingAgent extends Agent {
+class IdleCheckingAgent extends ConnectingAgent {
   override keepSocketAlive (socket: Socket): boolean {
     const maxIdleMs = maxIdleMsOf(socket)
     if (maxIdleMs <= 0) return false
@@ -131,7 +153,7 @@
   return keepAliveS === undefined ? MAX_IDLE_MS : Math.min(MAX_IDLE_MS, Number(keepAliveS) * 1000 - KEEP_ALIVE_MARGIN_MS)
 }
 
-function awaitHead (request: ClientRequest, timeoutMs: number): Promise<ResponseHead | ExchangeFailure> {
+function awaitHead (request: ClientRequest, { headTimeoutMs: timeoutMs, maySend }: ExchangeRequest): Promise<ResponseHead | ExchangeFailure> {
   return new Promise((resolve) => {
     let connected = false
     let reset = false
@@ -156,8 +178,12 @@
       // Node.js marks a response without a length as complete even if its connection was reset.
       socket.on('error', markReset)
       request.on('close', () => socket.removeListener('error', markReset))
-      if (socket.connecting) socket.once('connect', markConnected)
-      else markConnected()
+      if (maySend?.() === false) {
+        settle({ outcome: ExchangeOutcome.NotSent, detail: 'withheld: the server has left' })
+        request.destroy()
+        return
+      }
+      markConnected()
     })
     request.on('response', (message) => settle({
       status: message.statusCode ?? 0,
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -22,6 +22,9 @@
 /** Timeout of a prefill, in milliseconds; a healthy runner responds within a few hundred. */
 const PREFILL_TIMEOUT_MS = 1500
 
+/** Age up to which the KV cache of a prompt that was not sent to a decode runner is sent to another one, in milliseconds; prefill runners soon evict it. */
+const MAX_KV_CACHE_AGE_MS = 250
+
 /** Silence after which a resumable stream is resumed on another runner, in milliseconds; callers give up after 2000 ms. */
 const RESUME_AFTER_SILENCE_MS = 1200
 
@@ -59,6 +62,10 @@
   /** When the request was last sent to a decode runner, in milliseconds. */
   #sentToDecodeMs = 0
   #prefillCount = 0
+  /** When the last prefill ended, in milliseconds. */
+  #computedMs = 0
+  /** KV cache of the prompt that no decode runner has been asked to take over. */
+  #unusedKvCache: KvCacheHandle | null = null
 
   constructor (context: StreamForwardingContext, pending: PendingRequest) {
     this.#context = context
@@ -70,6 +77,7 @@
     const { placer } = this.#context
     const pending = this.#pending
     pending.onTimeout = () => refuseAtTimeout(pending, this.#sending)
+    pending.whenEnded(() => this.#freeUnusedKvCache())
     const excluded: string[] = []
     for (;;) {
       if (this.#refuseIfQuarantined()) return
@@ -151,14 +159,14 @@
     const { backends, placer } = this.#context
     const decodeServer = backends.get(placement.decode)
     if (decodeServer === undefined || !backends.accepts(decodeServer)) return ExchangeOutcome.NotSent
-    const prefillServer = placement.prefill === null || !this.#reservePrefill() ? undefined : backends.get(placement.prefill)
-    const kvCache = prefillServer === undefined ? null : await this.#runPrefill(prefillServer)
+    const kvCache = this.#takeUnusedKvCache() ?? await this.#computeKvCache(placement)
     placer.recordPrefillDone(this.#pending.request.id, null)
     if (this.#pending.ended || this.#refuseIfQuarantined()) {
       if (kvCache !== null) this.#context.backendClient.freeKvCache(kvCache)
       return null
     }
     let result = await this.#sendToDecode(decodeServer, kvCache)
+    if (result.outcome === ExchangeOutcome.NotSent && kvCache !== null) this.#keepUnusedKvCache(kvCache)
     if (result.outcome === ExchangeOutcome.Rejected && kvCache !== null && !this.#pending.ended && this.#context.retryBudget.tryConsume(this.#pending.service)) {
       // The prefill runner may have evicted the KV cache of the prompt, so the decode runner computes the prompt itself.
       logFailedSend(this.#context, this.#pending, decodeServer, result)
@@ -174,6 +182,30 @@
     return await this.#relay(decodeServer, result.head)
   }
 
+  async #computeKvCache ({ prefill }: Placement): Promise<KvCacheHandle | null> {
+    const prefillServer = prefill === null || !this.#reservePrefill() ? undefined : this.#context.backends.get(prefill)
+    return prefillServer === undefined ? null : await this.#runPrefill(prefillServer)
+  }
+
+  #keepUnusedKvCache (kvCache: KvCacheHandle): void {
+    this.#unusedKvCache = kvCache
+    if (this.#pending.ended) this.#freeUnusedKvCache()
+  }
+
+  /** The KV cache that was not used by an earlier attempt, if the prefill runner still holds it. */
+  #takeUnusedKvCache (): KvCacheHandle | null {
+    if (this.#context.nowMs() - this.#computedMs > MAX_KV_CACHE_AGE_MS) this.#freeUnusedKvCache()
+    const kvCache = this.#unusedKvCache
+    this.#unusedKvCache = null
+    return kvCache
+  }
+
+  #freeUnusedKvCache (): void {
+    if (this.#unusedKvCache === null) return
+    this.#context.backendClient.freeKvCache(this.#unusedKvCache)
+    this.#unusedKvCache = null
+  }
+
   /** Reserves one prefill for this request; false if it may not run. Every prefill after the first consumes a retry from the service's budget. */
   #reservePrefill (): boolean {
     if (this.#prefillCount > 0 && !this.#context.retryBudget.tryConsume(this.#pending.service)) return false
@@ -198,6 +230,7 @@
     const body = result.outcome === ExchangeOutcome.Answered ? await readBody(result.head, MAX_BUFFERED_BODY_BYTES, Math.max(0, startedMs + PREFILL_TIMEOUT_MS - this.#context.nowMs())) : null
     const kvCache = body === null ? null : backendClient.parsePrefillResponse(prefillServer, body)
     if (kvCache !== null) {
+      this.#computedMs = this.#context.nowMs()
       const tokens = pending.request.generationParameters?.promptTokens ?? 0
       placer.recordPrefillDone(pending.request.id, tokens / Math.max(1, this.#context.nowMs() - startedMs))
       return kvCache
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -6,6 +6,7 @@
 import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
 import { type Configuration, type Route, RouteKind } from '../../src/gateway/configuration.js'
 import type { Exchange, ExchangeFailure, ResponseHead } from '../../src/gateway/http-exchange.js'
+import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import type { GatewayRefusal } from '../../src/gateway/refusal.js'
 import type { Log } from '../../src/logs/log.js'
 
@@ -106,6 +107,7 @@
   }
 
   send (options: SendOptions): Exchange {
+    if (options.maySend?.() === false) return { head: Promise.resolve({ outcome: ExchangeOutcome.NotSent, detail: 'withheld' }), cancel: () => {} }
     this.sent.push(options)
     const reaction = this.#respond(options, this.sent.length)
     const cancel = (): void => { this.cancelled.push(options.backend.id) }
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -46,6 +46,27 @@
     expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBeNull()
   })
 
+  // Guards against requests to servers that leave while the connection is established.
+  test('asks once the connection is established whether the request may still be written, on new and on kept connections', async () => {
+    let received = 0
+    const address = await serve(...Array.from({ length: 3 }, () => (socket: Socket) => {
+      received += 1
+      socket.write('HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+    }))
+    const client = new HttpExchangeClient()
+    const withheld = async (ownConnection: boolean): Promise<Head> => {
+      const exchange = client.start({ address, method: 'GET', target: '/', headers: ['Host', 'h'], body: Buffer.alloc(0), headTimeoutMs: 500, ownConnection, maySend: () => false })
+      return await exchange.head
+    }
+    expect(await withheld(true)).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+    expect(await withheld(false)).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+    expect(received).toBe(0)
+    expect(await bodyOf(await get(client, address))).toBe('ok')
+    expect(await withheld(false)).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+    await new Promise((resolve) => setTimeout(resolve, 50))
+    expect(received).toBe(1)
+  })
+
   test('treats a body that is shorter than its stated length as incomplete', async () => {
     const address = await serve((socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'))
     expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBeNull()
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { RunnerRole } from '../../src/gateway/backend.js'
+import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
 import { type SendOptions, ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { BackendTable } from '../../src/gateway/backend-table.js'
 import { type Route, RouteKind } from '../../src/gateway/configuration.js'
@@ -15,6 +15,7 @@
 import { backend, callerRequest, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
 interface ForwardingRun {
+  backends: BackendTable
   responder: RecordingResponder
   backendClient: ScriptedBackendClient
   placerCalls: string[]
@@ -65,7 +66,7 @@
     placer,
     quarantine: options.quarantine ?? new PromptQuarantine({ nowMs, log: recordingLog() })
   }, pending)
-  return { responder, backendClient, placerCalls, pending, log, done }
+  return { backends, responder, backendClient, placerCalls, pending, log, done }
 }
 
 const stream = { parts: ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'] }
@@ -108,6 +109,37 @@
     expect(responder).toMatchObject({ text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', ending: 'ended' })
   })
 
+  // Guards against requests that reach a runner long after it has said that it leaves: it was checked only before the prefill.
+  test.each([
+    ['during the prefill', (options: SendOptions) => isPrefill(options), ['p1', 'd2']],
+    ['before the request is sent again without the KV cache', (options: SendOptions) => options.kvCache != null, ['p1', 'd1', 'p1', 'd2']]
+  ])('sends nothing to a decode runner that leaves %s', async (_name, leavesAt, servers) => {
+    const run = startForwarding({
+      respond: (options) => {
+        if (options.backend.id !== 'd2' && leavesAt(options)) run.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode, state: ServerState.Leaving }))
+        return isPrefill(options) ? { parts: ['h1'] } : options.backend.id === 'd1' ? notRun : stream
+      },
+      route: { attempts: 2 }
+    })
+    await run.done
+    expect(run.backendClient.sent.map(({ backend: { id } }) => id)).toEqual(servers)
+    expect(run.responder).toMatchObject({ text: stream.parts.join(''), ending: 'ended' })
+    expect(run.log.lines.filter((line) => line.startsWith('send.stale'))).toEqual([expect.stringContaining('server=d1 prefill=false state=leaving')])
+    expect(run.backendClient.freed).toEqual([])
+  })
+
+  test('frees the KV cache of the prompt when no other runner can take it over', async () => {
+    const run = startForwarding({
+      placements: [{ prefill: 'p1', decode: 'd1' }],
+      respond: () => {
+        run.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode, state: ServerState.Leaving }))
+        return { parts: ['h1'] }
+      }
+    })
+    await run.done
+    expect([run.responder.refusal, run.backendClient.freed]).toEqual(['overloaded', [{ address: '10.0.0.9:80', handle: 'h1' }]])
+  })
+
   test('counts a second prefill as a retry too, and lets the decode runner compute the prompt when the retry budget is exhausted', async () => {
     const { backendClient, done } = startForwarding({
       // A slack of 1.5 allows one retry: resuming on the second runner consumes it, so none is left for a second prefill.
