--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -113,6 +113,12 @@
     else this.#delete(entry.backend, source)
   }
 
+  /** Removes a server at once, also around an outage of the store. */
+  discard (id: string): void {
+    const entry = this.#entries.get(id)
+    if (entry !== undefined) this.#delete(entry.backend, ServerSource.Watch)
+  }
+
   /** Marks a ready server as missing since `sinceMs`, or earlier if it already is; removes a leaving one. */
   #markMissing (id: string, sinceMs: number, source: ServerSource): void {
     const entry = this.#entries.get(id)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -224,7 +224,7 @@
   handleUnreadableEntry ({ key, detail, backendId }: Extract<StoreChange, { kind: StoreChangeKind.Unreadable }>): void {
     this.#options.log.warn('store.unreadable', { key, detail })
     // The unreadable value has overwritten the server's entry, so nothing shows whether the server still exists.
-    if (backendId !== null) this.backends.remove(backendId)
+    if (backendId !== null) this.backends.discard(backendId)
   }
 
   /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its store revision is newer. */
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -87,8 +87,13 @@
     expect(log.lines).toHaveLength(before)
   })
 
-  test('removes a server whose entry was overwritten by an unreadable value', () => {
+  // Guards against requests to a server whose entry names none: around an outage of the store it was kept as missing.
+  test.each([
+    ['while the store is reached', true],
+    ['around an outage of the store', false]
+  ])('removes a server whose entry was overwritten by an unreadable value, %s', (_name, reached) => {
     const { gateway } = servingInstance()
+    if (!reached) gateway.recordStoreReachability(false)
     const [server] = gateway.backends.all()
     gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: `servers/${server?.id}`, detail: 'no JSON', backendId: server?.id ?? '' }, 13)
     expect(gateway.backends.get(server?.id ?? '')).toBeUndefined()
