--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -353,6 +353,7 @@
     const runners = this.#availableRunners(service, RunnerRole.Decode)
     const ratePerS = runners.reduce((sum, backend) => sum + permits.ratePerS(backend), 0)
     if (ratePerS === Infinity) return false
+    if (ratePerS === 0) return true
     const waitingCount = [...this.#waiting.values()].filter(({ request }) => request.service === service).length
     const firstWaitMs = Math.min(...runners.map((backend) => permits.waitMs(backend)))
     return firstWaitMs + (waitingCount - 1) / ratePerS * MS_PER_SECOND > patienceMs
--- a/test/gateway/placement-scheduler.test.ts
+++ b/test/gateway/placement-scheduler.test.ts
@@ -214,6 +214,12 @@
     expect(setup.decisions.get('a')).toEqual({ prefill: null, decode: 'd1' })
   })
 
+  test('refuses a request at once if this instance may give out no permits for any decode runner', () => {
+    const setup = fixture([decode('d1')], scriptedPermits({ d1: 0 }, 0))
+    setup.submit('a')
+    expect(setup.decisions.get('a')).toMatchObject({ refusal: PlacementRefusal.RateLimited })
+  })
+
   test('lets requests wait for memory if one decode runner has no limit', () => {
     const setup = fixture([decode('d1'), decode('d2')], scriptedPermits({ d1: 0 }))
     for (let request = 0; request < 20; request += 1) setup.submit(`q${request}`)
