Let servers leave in the soak and judge what reaches them afterwards

Servers announce that they leave, with draining or by removing their entry, while the other faults go on. A request that reaches one later than the drain time, sent by an instance that no fault has touched, is a violation. A random generator of its own keeps the series of the seeds that failed once.

--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -4,6 +4,7 @@
 import { PlatformCallerStandIn } from '../standin/platform-caller-standin.js'
 import { faultHandlers, SoakFault } from './soak-faults.js'
 import { SoakFleet } from './soak-fleet.js'
+import { LeavingRunners } from './leaving-runners.js'
 import { SoakLedger } from './soak-ledger.js'
 
 /** Time for the fleet to become ready, in milliseconds. */
@@ -27,6 +28,9 @@
 /** Work of callers that are gone must have ended after this time, in milliseconds. */
 const RELEASE_MS = 1000
 
+/** Distance between the seeds of the faults and of the servers that leave. */
+const LEAVING_SEED_OFFSET = 1_000_003
+
 interface SoakOptions {
   seed: number
   faultsMs: number
@@ -55,7 +59,11 @@
     const callers = Array.from({ length: options.callers }, (_, index) =>
       new PlatformCallerStandIn({ name: `s${options.seed}c${index}`, directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
     const running = Promise.all(callers.map((caller) => caller.run()))
+    const leaving = new LeavingRunners({ fleet })
+    // A generator of its own, so that the seeds that failed once keep their series of faults.
+    const leaves = leaving.run(options.faultsMs, seededRandom(options.seed + LEAVING_SEED_OFFSET))
     const faults = await injectFaults(fleet, random, options.faultsMs, violations)
+    await leaves
     await delay(RECOVERY_MS)
     const before = ledger.ends.length
     await delay(CALM_MS)
@@ -66,7 +74,7 @@
     await delay(RELEASE_MS)
     const held = fleet.runners.reduce((sum, { standIn }) => sum + standIn.active, 0)
     if (held > 0) violations.push(`${held} runs are still at work for callers that are gone`)
-    violations.push(...ledger.violations())
+    violations.push(...ledger.violations(), ...leaving.violations(ledger))
     return { seed: options.seed, calls: ledger.ends.length, good: ledger.ends.filter(isGood).length, faults, violations }
   } finally {
     await fleet.stop()
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -81,6 +81,15 @@
     this.store.put(serverKey(id), platformServer({ service, address: `${ip}:${PORTS.runner}`, stage }))
   }
 
+  /** Lets a backend server announce that it leaves, with `draining` or by removing its entry. It still serves requests. */
+  announceLeaving (index: number, removesEntry: boolean): void {
+    const runner = this.runners[index]
+    if (runner === undefined) return
+    const { id, ip, service, stage } = runner
+    if (removesEntry) this.store.remove(serverKey(id))
+    else this.store.put(serverKey(id), platformServer({ service, address: `${ip}:${PORTS.runner}`, stage, leaving: true }))
+  }
+
   /** Starts the process of an instance again if it has ended. */
   restart (instance: SoakInstance): void {
     instance.touchedMs = performance.now()
--- a/src/standin/platform-call.ts
+++ b/src/standin/platform-call.ts
@@ -8,6 +8,8 @@
 /** How one attempt ended, as its caller saw it. */
 export interface CallEnd {
   id: string
+  /** Address of the instance that was called. */
+  address: string
   kind: CallKind
   /** Null if the connection broke. */
   status: number | null
--- a/src/standin/platform-caller-standin.ts
+++ b/src/standin/platform-caller-standin.ts
@@ -80,7 +80,7 @@
   return new Promise((resolve) => {
     const end = (status: number | null, fault: string | null): void => {
       clearTimeout(timer)
-      resolve({ id, kind, status, fault })
+      resolve({ id, address, kind, status, fault })
     }
     const call = request(`http://${address}${paths[kind]}`, {
       agent,
--- a/src/standin/platform-entries.ts
+++ b/src/standin/platform-entries.ts
@@ -30,13 +30,13 @@
   }
 }
 
-/** The entry of a server that has just started. */
-export function platformServer ({ service, address, stage }: { service: string, address: string, stage: RunnerStage }): unknown {
+/** The entry of a server that has just started or, with `leaving`, is about to exit. */
+export function platformServer ({ service, address, stage, leaving = false }: { service: string, address: string, stage: RunnerStage, leaving?: boolean }): unknown {
   return {
     Service: service,
     Address: address,
     Zone: 'a',
-    State: 'ready',
+    State: leaving ? 'draining' : 'ready',
     Slots: 16,
     Sequence: 1,
     born: Date.now(),
--- a/test/programs/stopping-gateway.test.ts
+++ b/test/programs/stopping-gateway.test.ts
@@ -43,8 +43,7 @@
     while (performance.now() - startedMs < 10_000 && await get(agent, address, '/checks/x') !== 200) await delay(50)
     instance.process.kill('SIGTERM')
     await delay(100)
-    const entry = platformServer({ service: leaving.service, address: `${leaving.ip}:7107`, stage: leaving.stage }) as object
-    fleet.store.put(serverKey(leaving.id), { ...entry, State: 'draining' })
+    fleet.store.put(serverKey(leaving.id), platformServer({ service: leaving.service, address: `${leaving.ip}:7107`, stage: leaving.stage, leaving: true }))
     await delay(600)
     let arrivals = 0
     leaving.standIn.server.on('request', () => { arrivals += 1 })
--- a/test/soak/soak-ledger.test.ts
+++ b/test/soak/soak-ledger.test.ts
@@ -5,7 +5,7 @@
 function judged (kind: CallKind, runs: number, status: number | null, fault: string | null = null): string[] {
   const ledger = new SoakLedger()
   for (let run = 0; run < runs; run += 1) ledger.ran('q')
-  ledger.ends.push({ id: 'q', kind, status, fault })
+  ledger.ends.push({ address: '127.0.0.1:1', id: 'q', kind, status, fault })
   return ledger.violations()
 }
 
