--- a/src/soak/leaving-runners.ts
+++ b/src/soak/leaving-runners.ts
@@ -22,22 +22,29 @@
   untouched: string[]
 }
 
+interface LeavingRunnersOptions {
+  fleet: Pick<SoakFleet, 'runners' | 'instances' | 'store' | 'announceLeaving' | 'startRunner'>
+  periodMs?: number
+  drainMs?: number
+  lingerMs?: number
+}
+
 /** Servers that leave one after the other while faults go on, and the requests that reach them too late. */
 export class LeavingRunners {
-  readonly #fleet: SoakFleet
+  readonly #options: Required<LeavingRunnersOptions>
   readonly #late: LateArrival[] = []
 
-  constructor (options: { fleet: SoakFleet }) {
-    this.#fleet = options.fleet
+  constructor (options: LeavingRunnersOptions) {
+    this.#options = { periodMs: LEAVING_PERIOD_MS, drainMs: DRAIN_MS, lingerMs: LINGER_MS, ...options }
   }
 
   async run (durationMs: number, random: () => number): Promise<void> {
     const exits: Array<Promise<void>> = []
     for (let passedMs = 0; passedMs < durationMs;) {
-      const pauseMs = LEAVING_PERIOD_MS * (0.5 + random())
+      const pauseMs = this.#options.periodMs * (0.5 + random())
       passedMs += pauseMs
       await delay(pauseMs)
-      exits.push(this.#leave(Math.floor(random() * this.#fleet.runners.length), random() < 0.5))
+      exits.push(this.#leave(Math.floor(random() * this.#options.fleet.runners.length), random() < 0.5))
     }
     await Promise.all(exits)
   }
@@ -50,22 +57,23 @@
   }
 
   async #leave (index: number, removesEntry: boolean): Promise<void> {
-    const runner = this.#fleet.runners[index]
+    const { fleet, drainMs, lingerMs } = this.#options
+    const runner = fleet.runners[index]
     if (runner === undefined || !runner.standIn.server.listening) return
     const leftMs = performance.now()
-    this.#fleet.announceLeaving(index, removesEntry)
+    fleet.announceLeaving(index, removesEntry)
     runner.standIn.server.on('request', ({ url, headers }) => {
-      const lateMs = performance.now() - leftMs - DRAIN_MS
-      if (lateMs <= 0 || url === '/v1/report') return
-      const untouched = this.#fleet.instances.filter(({ touchedMs }) => touchedMs < performance.now() - UNTOUCHED_MS).map(({ ip }) => ip)
-      this.#late.push({ requestId: String(headers['x-request-id']), serverId: runner.id, lateMs: lateMs + DRAIN_MS, untouched })
+      const lateMs = performance.now() - leftMs
+      if (lateMs <= drainMs || url === '/v1/report') return
+      const untouched = fleet.instances.filter(({ touchedMs }) => touchedMs < performance.now() - UNTOUCHED_MS).map(({ ip }) => ip)
+      this.#late.push({ requestId: String(headers['x-request-id']), serverId: runner.id, lateMs, untouched })
     })
-    await delay(DRAIN_MS + LINGER_MS)
+    await delay(drainMs + lingerMs)
     // A crash may have replaced the server meanwhile.
-    if (this.#fleet.runners[index] !== runner) return
+    if (fleet.runners[index] !== runner) return
     runner.standIn.crash()
-    this.#fleet.store.remove(serverKey(runner.id))
-    await this.#fleet.startRunner(index, runner.stage)
+    fleet.store.remove(serverKey(runner.id))
+    await fleet.startRunner(index, runner.stage)
   }
 }
 
