--- a/test/platform/faulty-answers.test.ts
+++ b/test/platform/faulty-answers.test.ts
@@ -4,17 +4,12 @@
 import { RunnerRole } from '../../src/gateway/backend.js'
 import { BackendTable } from '../../src/gateway/backend-table.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
-import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
-import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
 import { PendingRequest } from '../../src/gateway/pending-request.js'
 import { forwardPlain } from '../../src/gateway/plain-forwarding.js'
 import { PromptQuarantine } from '../../src/gateway/prompt-quarantine.js'
-import { RetryBudget } from '../../src/gateway/retry-budget.js'
-import { ServerHealth } from '../../src/gateway/server-health.js'
 import { forwardStream, type StreamForwardingContext } from '../../src/gateway/stream-forwarding.js'
-import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, callerRequest, recordingLog, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
-import { soleInstanceLimits } from '../gateway/limit-fixtures.js'
+import { backend, callerRequest, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { httpForwardingContext } from './http-forwarding-context.js'
 
 const servers: Server[] = []
 const sockets = new Set<Socket>()
@@ -55,22 +50,12 @@
 
 /** A context with the given servers, the first of which is preferred. */
 function createContext (byteServers: ByteServer[], stage: RunnerRole): StreamForwardingContext {
-  const nowMs = (): number => performance.now()
-  const log = recordingLog()
-  const backends = new BackendTable({ nowMs })
+  const backends = new BackendTable({ nowMs: () => performance.now() })
   for (const [index, { address }] of byteServers.entries()) backends.put(backend({ id: `b${index + 1}`, address, stage, service: 'service', failureDomain: index === 0 ? 'a' : 'b' }))
+  const context = httpForwardingContext(backends)
   return {
-    backends,
-    backendClient: new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log }),
-    health: new ServerHealth({ nowMs }),
-    retryBudget: new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: 100, windowS: 1 }), instanceCount: () => 1 }),
-    failureDomain: 'a',
-    log,
-    metrics: new GatewayMetrics(),
-    ...soleInstanceLimits(nowMs),
-    nowMs,
-    random: () => 0,
-    quarantine: new PromptQuarantine({ nowMs, log }),
+    ...context,
+    quarantine: new PromptQuarantine({ nowMs: context.nowMs, log: context.log }),
     placer: {
       place: (_pending, excluded) => Promise.resolve({ prefill: null, decode: `b${excluded.length + 1}` }),
       recordPrefillDone: () => {},
--- a/test/platform/server-limit.test.ts
+++ b/test/platform/server-limit.test.ts
@@ -5,15 +5,10 @@
 import { BackendTable } from '../../src/gateway/backend-table.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import type { ForwardingContext } from '../../src/gateway/forwarding.js'
-import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
-import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
 import { PendingRequest } from '../../src/gateway/pending-request.js'
 import { forwardPlain } from '../../src/gateway/plain-forwarding.js'
-import { RetryBudget } from '../../src/gateway/retry-budget.js'
-import { ServerHealth } from '../../src/gateway/server-health.js'
-import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, callerRequest, recordingLog, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
-import { soleInstanceLimits } from '../gateway/limit-fixtures.js'
+import { backend, callerRequest, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { httpForwardingContext } from './http-forwarding-context.js'
 
 const LIMIT_PER_S = 2
 
@@ -49,23 +44,10 @@
   return limited
 }
 
-function createContext (limited: LimitedServer[]): ForwardingContext & { log: ReturnType<typeof recordingLog> } {
-  const nowMs = (): number => performance.now()
-  const log = recordingLog()
-  const backends = new BackendTable({ nowMs })
+function createContext (limited: LimitedServer[]): ForwardingContext {
+  const backends = new BackendTable({ nowMs: () => performance.now() })
   for (const [index, { address }] of limited.entries()) backends.put(backend({ id: `b${index + 1}`, address, failureDomain: index === 0 ? 'a' : 'b' }))
-  return {
-    backends,
-    backendClient: new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log }),
-    health: new ServerHealth({ nowMs }),
-    retryBudget: new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: 100, windowS: 1 }), instanceCount: () => 1 }),
-    failureDomain: 'a',
-    log,
-    metrics: new GatewayMetrics(),
-    ...soleInstanceLimits(nowMs),
-    nowMs,
-    random: Math.random
-  }
+  return httpForwardingContext(backends)
 }
 
 let requests = 0
