Log how a relayed stream ended and how long it had been silent

It now has end (given-up or broken) and silentMs. No behaviour changes; unit tests of the gateway pass with the new fields.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -64,6 +64,8 @@
   #prefillCount = 0
   /** When the last prefill ended, in milliseconds. */
   #computedMs = 0
+  /** When the response head or the last bytes of the stream arrived, in milliseconds. */
+  #lastBytesMs = 0
   /** KV cache of the prompt that no decode runner has been asked to take over. */
   #unusedKvCache: KvCacheHandle | null = null
 
@@ -305,6 +307,8 @@
       request: pending.request.id,
       route: pending.route.name,
       server: decodeServer.id,
+      end,
+      silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs),
       lastEvent: this.#eventSplitter.lastEventId ?? '',
       events,
       parts: pending.request.generationParameters?.sharedParts.join() ?? '',
@@ -330,6 +334,7 @@
     const sharedParts = this.#sharedParts
     const pending = this.#pending
     const { responder, route } = pending
+    this.#lastBytesMs = this.#context.nowMs()
     return new Promise((resolve) => {
       let begun = false
       let streamBytes = 0
@@ -348,6 +353,7 @@
         message.destroy()
       }
       message.on('data', (chunk: Buffer) => {
+        this.#lastBytesMs = this.#context.nowMs()
         restartSilenceTimer()
         if (pending.logFields.firstEventMs === undefined) pending.addLogFields({ firstEventMs: Math.round(pending.ageMs()) })
         const completeEvents = this.#eventSplitter.push(chunk)
