Keep a silent stream at its runner until another place is known

What callers saw: the connection closed in the middle of an answer (200), beside a change of the configuration, while they were still waiting (LOST).

Cause: a resumable stream without bytes for 1.2 s was cut first, and a place for it was asked for afterwards. If no runner had memory within 2.3 s, if the route's attempts were used up or the retry budget was exhausted, the answer was aborted, although the first runner only paused or had preempted the run. The class of the fault: something that works is given up before its replacement is certain.

Change: SilenceWatch seeks an alternative place under an id of its own while the runner keeps the stream and the coordinator its memory. The stream is moved only when the place has been decided, its runner is another one that still accepts requests, an attempt is left and a retry could be consumed. Bytes that arrive meanwhile withdraw the search. A silence is no reason any more to end an answer.

Tests failed before: 6 cases in stream-forwarding (aborted, or a run on a second runner with no place), one over sockets in faulty-answers ("aborted: outcome-unknown" in place of "answered"). They pass now, as do those of SilenceWatch and of alternative places in placement-client.

--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -3,7 +3,7 @@
 import type { InstanceTable } from './instance-table.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PendingRequest } from './pending-request.js'
-import type { Placer } from './placer.js'
+import type { AlternativePlacement, Placer } from './placer.js'
 import { type Placement, type PlacementRequest, PlacementRefusal, type RefusedPlacement, type RunProgress } from './placement.js'
 import { type PlacementScheduler } from './placement-scheduler.js'
 
@@ -48,7 +48,37 @@
 /** The decision on a request that ended while it waited; nothing uses its values. */
 const ENDED_WHILE_WAITING: RefusedPlacement = { refusal: PlacementRefusal.CallerDisconnected, retryAfterMs: 0, waiting: 0, runs: 0 }
 
-/** A run of a request that this instance serves. */
+/** A decision and the IP address of the instance that made it. */
+interface Decided {
+  coordinator: string
+  decision: Decision
+}
+
+/** What a placement request waits for besides its decision. */
+type Waiter = Pick<PendingRequest, 'ended' | 'whenEnded'>
+
+/** The wait for an alternative place; it ends with its request or when it is withdrawn. */
+class AlternativeWait implements Waiter {
+  readonly #listeners: Array<() => void> = []
+  ended = false
+
+  constructor (options: { pending: PendingRequest }) {
+    options.pending.whenEnded(() => this.end())
+  }
+
+  whenEnded (listener: () => void): void {
+    if (this.ended) listener()
+    else this.#listeners.push(listener)
+  }
+
+  end (): void {
+    if (this.ended) return
+    this.ended = true
+    for (const listener of this.#listeners) listener()
+  }
+}
+
+/** A run of a request that this instance serves. Its id is that of the placement request. */
 interface OwnRun extends RunProgress {
   /** Tokens counted for each event of the stream. */
   tokensPerEvent: number
@@ -83,7 +113,10 @@
 export class PlacementClient implements Placer {
   readonly #options: PlacementClientOptions
   readonly #outstanding = new Map<string, OutstandingRequest>()
+  /** Runs by the id of their request. */
   readonly #runs = new Map<string, OwnRun>()
+  /** Number of alternative places requested so far; makes the ids of these requests unique. */
+  #alternativeCount = 0
 
   constructor (options: PlacementClientOptions) {
     this.#options = options
@@ -93,30 +126,59 @@
     for (const server of excluded) this.recordRunnerFailure(pending.service, server)
     this.#release(pending.request.id)
     const request = this.#placementRequestOf(pending)
-    for (let attempt = 0; attempt < MAX_COORDINATORS && !pending.ended; attempt += 1) {
+    const decided = await this.#decide(request, pending)
+    return this.#recordDecision(pending, request, decided)
+  }
+
+  placeAlternative (pending: PendingRequest): AlternativePlacement {
+    this.#alternativeCount += 1
+    const request = { ...this.#placementRequestOf(pending), id: `${pending.request.id}/${this.#alternativeCount}` }
+    const wait = new AlternativeWait({ pending })
+    let decided: Decided | null = null
+    let accepted = false
+    wait.whenEnded(() => { if (decided !== null && !accepted) this.#releasePlacement(request.id, decided.coordinator) })
+    const decision = this.#decide(request, wait).then((result) => {
+      decided = result
+      if (wait.ended && !accepted) this.#releasePlacement(request.id, result.coordinator)
+      return result.decision
+    })
+    return {
+      decision,
+      accept: () => {
+        if (decided === null || wait.ended) return
+        accepted = true
+        this.#release(pending.request.id)
+        this.#recordDecision(pending, request, decided)
+      },
+      withdraw: () => wait.end()
+    }
+  }
+
+  /** Asks the coordinator of the request's service, or decides alone if none answers. */
+  async #decide (request: PlacementRequest, waiter: Waiter): Promise<Decided> {
+    for (let attempt = 0; attempt < MAX_COORDINATORS && !waiter.ended; attempt += 1) {
       const coordinator = this.#coordinatorOf(request.service)
       const decision = coordinator === this.#options.ip
-        ? await this.#submitTo(this.#options.scheduler, request, pending)
-        : await this.#requestFrom(coordinator, request, pending)
-      if (decision !== null) return this.#recordDecision(pending, request, coordinator, decision)
+        ? await this.#submitTo(this.#options.scheduler, request, waiter)
+        : await this.#requestFrom(coordinator, request, waiter)
+      if (decision !== null) return { coordinator, decision }
       const dead = this.#options.instances.markDeadIfSilent(coordinator)
       this.#options.log.warn('keeper.silent', { keeper: coordinator, dead, request: request.id, service: request.service })
       // Another instance would not know the runs of a coordinator that is still alive, so this instance decides alone.
       if (!dead) break
     }
-    const decision = await this.#submitTo(this.#options.localScheduler, request, pending)
-    return this.#recordDecision(pending, request, this.#options.ip, decision)
+    return { coordinator: this.#options.ip, decision: await this.#submitTo(this.#options.localScheduler, request, waiter) }
   }
 
-  recordPrefillDone (id: string, tokensPerMs: number | null): void {
-    const run = this.#runs.get(id)
+  recordPrefillDone (requestId: string, tokensPerMs: number | null): void {
+    const run = this.#runs.get(requestId)
     if (run === undefined) return
-    this.#options.localScheduler.recordPrefillDone(id, tokensPerMs)
-    this.#notify(run.coordinator, { kind: PeerDatagramKind.Prefilled, id, tokensPerMs })
+    this.#options.localScheduler.recordPrefillDone(run.id, tokensPerMs)
+    this.#notify(run.coordinator, { kind: PeerDatagramKind.Prefilled, id: run.id, tokensPerMs })
   }
 
-  recordProgress (id: string, _eventId: string | null): void {
-    const run = this.#runs.get(id)
+  recordProgress (requestId: string, _eventId: string | null): void {
+    const run = this.#runs.get(requestId)
     if (run !== undefined) run.madeTokens += run.tokensPerEvent
   }
 
@@ -165,10 +227,10 @@
     }
   }
 
-  #submitTo (scheduler: PlacementScheduler, request: PlacementRequest, pending: PendingRequest): Promise<Decision> {
+  #submitTo (scheduler: PlacementScheduler, request: PlacementRequest, waiter: Waiter): Promise<Decision> {
     return new Promise((resolve) => {
       scheduler.submit(request, resolve)
-      pending.whenEnded(() => {
+      waiter.whenEnded(() => {
         scheduler.release(request.id)
         resolve(ENDED_WHILE_WAITING)
       })
@@ -176,7 +238,7 @@
   }
 
   /** Requests a placement from the coordinator; null if it does not answer. */
-  #requestFrom (coordinator: string, request: PlacementRequest, pending: PendingRequest): Promise<Decision | null> {
+  #requestFrom (coordinator: string, request: PlacementRequest, waiter: Waiter): Promise<Decision | null> {
     return new Promise((resolve) => {
       let unanswered = 0
       let settled = false
@@ -203,7 +265,7 @@
           timer = setTimeout(sendRequest, WAITING_RESEND_MS)
         }
       })
-      pending.whenEnded(() => {
+      waiter.whenEnded(() => {
         if (settled) return
         this.#options.send(coordinator, { kind: PeerDatagramKind.Release, id: request.id })
         settle(ENDED_WHILE_WAITING)
@@ -212,28 +274,33 @@
     })
   }
 
-  #recordDecision (pending: PendingRequest, request: PlacementRequest, coordinator: string, decision: Decision): Decision {
+  #recordDecision (pending: PendingRequest, request: PlacementRequest, { coordinator, decision }: Decided): Decision {
     pending.addLogFields({ keeper: coordinator, placedMs: Math.round(pending.ageMs()) })
     if ('refusal' in decision) return decision
     pending.addLogFields({ decode: decision.decode, prefill: decision.prefill ?? 'none' })
     const { id, service, promptTokens, output } = request
+    const requestId = pending.request.id
     const tokensPerEvent = this.#options.engine(service)?.tokensPerEvent ?? 1
-    this.#runs.set(id, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, coordinator })
+    this.#runs.set(requestId, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, coordinator })
     pending.whenEnded(() => {
-      pending.addLogFields({ estimatedTokens: output.estimateTokens ?? 'none', madeTokens: this.#runs.get(id)?.madeTokens ?? 0 })
-      this.#release(id)
+      pending.addLogFields({ estimatedTokens: output.estimateTokens ?? 'none', madeTokens: this.#runs.get(requestId)?.madeTokens ?? 0 })
+      this.#release(requestId)
     })
     return decision
   }
 
-  #release (id: string): void {
-    const run = this.#runs.get(id)
+  #release (requestId: string): void {
+    const run = this.#runs.get(requestId)
     if (run === undefined) return
-    this.#runs.delete(id)
-    this.#options.localScheduler.release(id)
-    this.#notify(run.coordinator, { kind: PeerDatagramKind.Release, id })
+    this.#runs.delete(requestId)
+    this.#releasePlacement(run.id, run.coordinator)
     const coordinator = this.#coordinatorOf(run.service)
-    if (coordinator !== run.coordinator) this.#notify(coordinator, { kind: PeerDatagramKind.Release, id })
+    if (coordinator !== run.coordinator) this.#notify(coordinator, { kind: PeerDatagramKind.Release, id: run.id })
+  }
+
+  #releasePlacement (id: string, coordinator: string): void {
+    this.#options.localScheduler.release(id)
+    this.#notify(coordinator, { kind: PeerDatagramKind.Release, id })
   }
 
   #coordinatorOf (service: string): string {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -9,6 +9,7 @@
 import { type Placement, PlacementRefusal, type RefusedPlacement } from './placement.js'
 import type { Placer } from './placer.js'
 import { GatewayRefusal } from './refusal.js'
+import { SilenceWatch } from './silence-watch.js'
 
 /** Largest response body that is buffered instead of streamed, in bytes: that of a prefill response or of a response that is not a stream. */
 const MAX_BUFFERED_BODY_BYTES = 64 * 1024
@@ -25,7 +26,7 @@
 /** Age up to which the KV cache of a prompt that was not sent to a decode runner is sent to another one, in milliseconds; prefill runners soon evict it. */
 const MAX_KV_CACHE_AGE_MS = 250
 
-/** Silence after which a resumable stream is resumed on another runner, in milliseconds; callers give up after 2000 ms. */
+/** Silence after which another runner is sought for a resumable stream, in milliseconds; callers give up after 2000 ms. */
 const RESUME_AFTER_SILENCE_MS = 1200
 
 /** Upper bound of the random part of `Retry-After`, in milliseconds, which keeps callers from retrying all at once. The fixed part has the same value unless a refused placement states one. */
@@ -44,8 +45,10 @@
 enum RelayEnd {
   Complete = 'complete',
   Broken = 'broken',
-  /** The gateway closed the connection, because the stream was silent or too large. */
-  GivenUp = 'given-up'
+  /** The gateway closed the connection, because the stream was too large. */
+  GivenUp = 'given-up',
+  /** The gateway closed the connection, because the stream was silent and another runner has a place for it. */
+  Moved = 'moved'
 }
 
 /** Serves one streaming request: requests a placement, runs the prefill, relays the stream and, on a resumable route, resumes a broken stream on another runner. */
@@ -68,6 +71,8 @@
   #lastBytesMs = 0
   /** KV cache of the prompt that no decode runner has been asked to take over. */
   #unusedKvCache: KvCacheHandle | null = null
+  /** Place on another runner, found while the present one was silent. */
+  #alternative: Placement | null = null
 
   constructor (context: StreamForwardingContext, pending: PendingRequest) {
     this.#context = context
@@ -83,17 +88,24 @@
     const excluded: string[] = []
     for (;;) {
       if (this.#refuseIfQuarantined()) return
-      const decision = await placer.place(pending, excluded)
+      const decision = this.#takeAlternative() ?? await placer.place(pending, excluded)
       if (pending.ended || this.#refuseIfQuarantined()) return
       if ('refusal' in decision) return this.#refuseUnplaced(decision)
       const outcome = await this.#attempt(decision)
       if (outcome === null || pending.ended) return
       excluded.push(decision.decode)
-      if (!tryConsumeRetry(this.#context, pending, outcome)) break
+      // A retry was consumed for an alternative before the stream was moved.
+      if (this.#alternative === null && !tryConsumeRetry(this.#context, pending, outcome)) break
     }
     refuseUnanswered(pending, this.#retryAfterMs())
   }
 
+  #takeAlternative (): Placement | null {
+    const alternative = this.#alternative
+    this.#alternative = null
+    return alternative
+  }
+
   #refuseUnplaced (decision: RefusedPlacement): void {
     const pending = this.#pending
     this.#context.log.info('placement.refused', {
@@ -329,6 +341,43 @@
     logFailedSend(this.#context, pending, decodeServer, { outcome: ExchangeOutcome.Failed, detail: `status ${status} after the stream had begun` })
   }
 
+  #watchSilence (decodeServer: BackendServer, onMove: () => void): SilenceWatch {
+    const { placer, log } = this.#context
+    const pending = this.#pending
+    const fields = { request: pending.request.id, route: pending.route.name, server: decodeServer.id }
+    return new SilenceWatch({
+      silenceMs: RESUME_AFTER_SILENCE_MS,
+      seek: () => {
+        if (!this.#mayMove()) return null
+        log.info('stream.silent', { ...fields, silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs), lastEvent: this.#eventSplitter.lastEventId ?? '' })
+        placer.recordRunnerFailure(pending.service, decodeServer.id)
+        return placer.placeAlternative(pending)
+      },
+      obstacle: (placement) => this.#obstacleToMove(decodeServer, placement),
+      onKept: (reason) => log.info('stream.kept', { ...fields, silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs), reason }),
+      onMove: (placement) => {
+        this.#alternative = placement
+        onMove()
+      },
+      log
+    })
+  }
+
+  #mayMove (): boolean {
+    const { ended, sentTo, route } = this.#pending
+    return !ended && sentTo.size < route.attempts && this.#context.quarantine.find(this.#sharedParts) === null
+  }
+
+  /** Why the stream can't move to this place. If it can, a retry is consumed for it. */
+  #obstacleToMove (decodeServer: BackendServer, { decode }: Placement): string | null {
+    const { backends, retryBudget } = this.#context
+    const next = backends.get(decode)
+    if (decode === decodeServer.id) return 'same-runner'
+    if (next === undefined || !backends.accepts(next)) return 'runner-left'
+    if (!this.#mayMove()) return 'not-allowed'
+    return retryBudget.tryConsume(this.#pending.service) ? null : 'retry-budget'
+  }
+
   #copyEvents (decodeServer: BackendServer, { message, isComplete }: ResponseHead, eventsBefore: number): Promise<RelayEnd> {
     const { placer, log, quarantine } = this.#context
     const sharedParts = this.#sharedParts
@@ -338,29 +387,24 @@
     return new Promise((resolve) => {
       let begun = false
       let streamBytes = 0
-      let silenceTimer: NodeJS.Timeout | undefined
-      const restartSilenceTimer = (): void => {
-        if (!route.resumable) return
-        clearTimeout(silenceTimer)
-        silenceTimer = setTimeout(giveUp, RESUME_AFTER_SILENCE_MS)
-      }
+      const silence = route.resumable ? this.#watchSilence(decodeServer, () => stop(RelayEnd.Moved)) : null
       const settle = (end: RelayEnd): void => {
-        clearTimeout(silenceTimer)
+        silence?.stop()
         resolve(end)
       }
-      const giveUp = (): void => {
-        settle(RelayEnd.GivenUp)
+      const stop = (end: RelayEnd): void => {
+        settle(end)
         message.destroy()
       }
       message.on('data', (chunk: Buffer) => {
         this.#lastBytesMs = this.#context.nowMs()
-        restartSilenceTimer()
+        silence?.restart()
         if (pending.logFields.firstEventMs === undefined) pending.addLogFields({ firstEventMs: Math.round(pending.ageMs()) })
         const completeEvents = this.#eventSplitter.push(chunk)
         streamBytes += chunk.length
         if (streamBytes > MAX_STREAM_BYTES || this.#eventSplitter.partialEvent.length > MAX_EVENT_BYTES) {
           log.warn('stream.oversized', { request: pending.request.id, server: decodeServer.id, bytes: streamBytes, eventBytes: this.#eventSplitter.partialEvent.length })
-          giveUp()
+          stop(RelayEnd.GivenUp)
           return
         }
         placer.recordProgress(pending.request.id, this.#eventSplitter.lastEventId)
@@ -371,8 +415,8 @@
         }
         const bytes = route.resumable ? completeEvents : chunk
         if (bytes.length === 0 || pending.ended || responder.write(bytes)) return
-        // The stream pauses because the caller reads slowly, so the silence timer must not end it.
-        clearTimeout(silenceTimer)
+        // The stream pauses because the caller reads slowly, not because the runner is silent.
+        silence?.stop()
         message.pause()
         responder.onDrain(() => message.resume())
       })
@@ -386,7 +430,7 @@
       })
       message.on('error', () => settle(RelayEnd.Broken))
       message.on('close', () => settle(RelayEnd.Broken))
-      restartSilenceTimer()
+      silence?.restart()
     })
   }
 }
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -89,6 +89,8 @@
   meaning?: ResponseMeaning
   parts?: string[]
   end?: 'whole' | 'broken' | 'open'
+  /** Time between the first chunk of the body and the next one, in milliseconds. */
+  pauseMs?: number
 }
 
 /** How a scripted server reacts to one request: with a response, with a failure, or never (`silent`). */
@@ -149,9 +151,16 @@
     const end = response.end ?? 'whole'
     this.#meanings.set(message, response.meaning ?? ResponseMeaning.Answer)
     setImmediate(() => {
-      for (const part of response.parts ?? []) stream.write(part)
-      if (end === 'whole') stream.end()
-      if (end === 'broken') setImmediate(() => stream.destroy())
+      const [first, ...others] = response.parts ?? []
+      if (first !== undefined) stream.write(first)
+      const finish = (): void => {
+        if (stream.destroyed) return
+        for (const part of others) stream.write(part)
+        if (end === 'whole') stream.end()
+        if (end === 'broken') setImmediate(() => stream.destroy())
+      }
+      if (response.pauseMs === undefined) finish()
+      else setTimeout(finish, response.pauseMs)
     })
     return { status: response.status ?? 200, statusText: '', headers: {}, rawHeaders: [], message, framed: true, reusedConnection: false, isComplete: () => end === 'whole' }
   }
--- a/test/gateway/placement-client.test.ts
+++ b/test/gateway/placement-client.test.ts
@@ -146,4 +146,54 @@
     await setup.client.place(setup.pending, [])
     expect(kinds(setup)).toEqual(['place', 'release'])
   })
+
+  describe('placeAlternative', () => {
+    const placed = (decode: string) => ({ client }: Fixture, _ip: string, message: PeerDatagram): void => {
+      if (message.kind === PeerDatagramKind.Place) client.handleAnswer({ kind: PeerDatagramKind.Placed, id: message.request.id, prefill: null, decode: message.request.id === 'q1' ? 'd1' : decode })
+    }
+    const released = ({ sent }: Fixture): string[] => sent.flatMap(({ message }) => message.kind === PeerDatagramKind.Release ? [message.id] : [])
+
+    // Guards against a silent run that loses its memory at the coordinator although it may go on.
+    test('keeps the present run until the alternative is accepted, then reports and releases the new one', async () => {
+      const setup = fixture(['10.0.0.2'], placed('d2'))
+      await setup.client.place(setup.pending, [])
+      const search = setup.client.placeAlternative(setup.pending)
+      expect(await search.decision).toEqual({ prefill: null, decode: 'd2' })
+      expect(released(setup)).toEqual([])
+      search.accept()
+      expect(released(setup)).toEqual(['q1'])
+      setup.client.recordProgress('q1', '1')
+      setup.client.sendReports()
+      expect(setup.sent.at(-1)?.message).toMatchObject({ runs: [{ id: 'q1/1', decode: 'd2', madeTokens: 73 }] })
+      setup.responder.disconnect()
+      expect(released(setup)).toEqual(['q1', 'q1/1'])
+    })
+
+    // Guards against places that stay reserved for a stream that did not move.
+    test.each([
+      ['withdrawn after the decision', async (setup: Fixture) => {
+        const search = setup.client.placeAlternative(setup.pending)
+        await search.decision
+        search.withdraw()
+        search.accept()
+      }],
+      ['withdrawn before the decision', async (setup: Fixture) => {
+        const search = setup.client.placeAlternative(setup.pending)
+        search.withdraw()
+        await search.decision
+      }],
+      ['not used before the request ends', async (setup: Fixture) => {
+        await setup.client.placeAlternative(setup.pending).decision
+        setup.responder.disconnect()
+      }]
+    ])('releases an alternative that is %s', async (_name, use) => {
+      const setup = fixture(['10.0.0.2'], placed('d2'))
+      await setup.client.place(setup.pending, [])
+      await use(setup)
+      await new Promise((resolve) => setTimeout(resolve, 20))
+      expect(released(setup)).toContain('q1/1')
+      setup.client.sendReports()
+      expect(setup.sent.flatMap(({ message }) => message.kind === PeerDatagramKind.Report ? message.runs.map(({ id }) => id) : [])).not.toContain('q1/1')
+    })
+  })
 })
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -14,6 +14,7 @@
 import { forwardStream } from '../../src/gateway/stream-forwarding.js'
 import { backend, callerRequest, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 import { soleInstanceLimits } from './limit-fixtures.js'
+import { alternative, noRunner } from './placer-fixtures.js'
 
 interface ForwardingRun {
   backends: BackendTable
@@ -27,7 +28,7 @@
 
 const isPrefill = (options: SendOptions): boolean => options.prefillOnly === true
 
-function startForwarding (options: { requestId?: string, sharedParts?: string[], quarantine?: PromptQuarantine, route?: Partial<Route>, placements?: Array<Placement | RefusedPlacement>, slack?: number, disconnectsAfterPrefill?: boolean, respond: (options: SendOptions, sendNumber: number) => ScriptedReaction }): ForwardingRun {
+function startForwarding (options: { requestId?: string, sharedParts?: string[], quarantine?: PromptQuarantine, route?: Partial<Route>, placements?: Array<Placement | RefusedPlacement>, alternative?: Placement, slack?: number, disconnectsAfterPrefill?: boolean, respond: (options: SendOptions, sendNumber: number) => ScriptedReaction }): ForwardingRun {
   const nowMs = (): number => performance.now()
   const backends = new BackendTable({ nowMs })
   backends.put(backend({ id: 'p1', service: 'model', stage: RunnerRole.Prefill, address: '10.0.0.9:80' }))
@@ -35,7 +36,8 @@
   const placerCalls: string[] = []
   const placements = options.placements ?? [{ prefill: 'p1', decode: 'd1' }, { prefill: 'p1', decode: 'd2' }]
   const placer: Placer = {
-    place: (_pending, excluded) => Promise.resolve(placements[excluded.length] ?? { refusal: PlacementRefusal.NoRunner, retryAfterMs: 100, waiting: 0, runs: 0 }),
+    place: (_pending, excluded) => Promise.resolve(placements[excluded.length] ?? noRunner),
+    placeAlternative: () => alternative(options.alternative ?? noRunner, (call) => placerCalls.push(`alternative ${call}`)),
     recordPrefillDone: (_id, tokensPerMs) => {
       placerCalls.push(tokensPerMs === null ? 'prefill ended, no rate measured' : 'prefill ended, rate measured')
       if (options.disconnectsAfterPrefill === true) responder.disconnect()
@@ -183,6 +185,36 @@
     expect(responder).toMatchObject({ status: 500, text: 'bad', ending: 'ended' })
   })
 
+  describe('with a runner that falls silent and goes on', () => {
+    const pausing = { parts: ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'], pauseMs: 1700 }
+    const respond = (options: SendOptions): ScriptedReaction => isPrefill(options) ? { parts: ['h1'] } : options.backend.id === 'd1' ? pausing : { parts: ['id: 2\ndata: b\n\n'] }
+    const resumable = { resumable: true, attempts: 2 }
+
+    // Guards against streams that are cut for a pause of their runner and end without an answer, as no other runner takes them.
+    test.each([
+      ['no other runner has a place', { route: resumable, placements: [{ prefill: 'p1', decode: 'd1' }] }],
+      ['the attempts of the route are used up', { route: { resumable: true, attempts: 1 }, alternative: { prefill: 'p1', decode: 'd2' } }],
+      ['the retry budget is exhausted', { route: resumable, slack: 0, alternative: { prefill: 'p1', decode: 'd2' } }],
+      ['the other place is on the same runner', { route: resumable, alternative: { prefill: 'p1', decode: 'd1' } }],
+      ['the other place is on a runner that has left', { route: resumable, alternative: { prefill: 'p1', decode: 'gone' } }]
+    ])('keeps the stream when %s', async (_name, options) => {
+      const run = startForwarding({ ...options, respond })
+      await run.done
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      expect(run.backendClient.sent.filter((sent) => !isPrefill(sent)).map(({ backend: { id } }) => id)).toEqual(['d1'])
+      expect(run.placerCalls).not.toContain('alternative accepted')
+    })
+
+    test('resumes the stream on another runner once that has a place, and consumes one retry', async () => {
+      // A slack of 1.5 allows one retry.
+      const run = startForwarding({ route: resumable, slack: 1.5, alternative: { prefill: null, decode: 'd2' }, respond })
+      await run.done
+      expect(run.backendClient.sent.at(-1)).toMatchObject({ backend: { id: 'd2' }, lastEventId: '1' })
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      expect(run.placerCalls.filter((call) => call.startsWith('alternative'))).toEqual(['alternative accepted'])
+    })
+  })
+
   // Guards against a truncated answer that looks complete: a response without a length ends like one whose runner crashed.
   test('treats a stream that ends inside an event as broken off', async () => {
     const insideEvent = { parts: ['id: 1\ndata: a\n\nid: 2\nda'], end: 'whole' as const }
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -14,6 +14,7 @@
 import { forwardStream } from '../../src/gateway/stream-forwarding.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
 import { backend, callerRequest, recordingLog, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { noAlternative } from '../gateway/placer-fixtures.js'
 import { soleInstanceLimits } from '../gateway/limit-fixtures.js'
 
 const TIMEOUT_MS = 600
@@ -99,6 +100,7 @@
     quarantine: new PromptQuarantine({ nowMs, log }),
     placer: {
       place: () => Promise.resolve({ prefill: null, decode: 'd1' }),
+      placeAlternative: noAlternative,
       recordPrefillDone: () => {},
       recordProgress: () => {},
       recordRunnerFailure: () => {}
--- a/test/platform/faulty-answers.test.ts
+++ b/test/platform/faulty-answers.test.ts
@@ -9,6 +9,7 @@
 import { PromptQuarantine } from '../../src/gateway/prompt-quarantine.js'
 import { forwardStream, type StreamForwardingContext } from '../../src/gateway/stream-forwarding.js'
 import { backend, callerRequest, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { noAlternative, noRunner } from '../gateway/placer-fixtures.js'
 import { httpForwardingContext } from './http-forwarding-context.js'
 
 const servers: Server[] = []
@@ -58,6 +59,7 @@
     quarantine: new PromptQuarantine({ nowMs: context.nowMs, log: context.log }),
     placer: {
       place: (_pending, excluded) => Promise.resolve({ prefill: null, decode: `b${excluded.length + 1}` }),
+      placeAlternative: noAlternative,
       recordPrefillDone: () => {},
       recordProgress: () => {},
       recordRunnerFailure: () => {}
@@ -70,12 +72,12 @@
   responder: RecordingResponder
 }
 
-async function send (context: StreamForwardingContext, id: string, kind: RouteKind, resumable = false): Promise<Ending> {
+async function send (context: StreamForwardingContext, id: string, kind: RouteKind, { resumable = false, timeoutMs = 1500 }: { resumable?: boolean, timeoutMs?: number } = {}): Promise<Ending> {
   const responder = new RecordingResponder()
   const streaming = kind === RouteKind.Streaming
   const pending = new PendingRequest({
     request: callerRequest({ id, headers: ['Host', 'h.example', 'X-Request-Id', id], arrivedMs: context.nowMs(), generationParameters: streaming ? { promptTokens: 10, maxOutputTokens: 10, estimatedOutputTokens: null, promptId: 'own', sharedParts: [] } : null }),
-    route: route({ kind, resumable, attempts: 2, timeoutMs: 1500 }),
+    route: route({ kind, resumable, attempts: 2, timeoutMs }),
     service: 'service',
     responder,
     nowMs: context.nowMs
@@ -128,10 +130,22 @@
       setTimeout(() => socket.resetAndDestroy(), 30)
     })
     const second = await startServer((socket) => { socket.end(failure) })
-    const { ending, responder } = await send(createContext([first, second], RunnerRole.Decode), 'q1', RouteKind.Streaming, true)
+    const { ending, responder } = await send(createContext([first, second], RunnerRole.Decode), 'q1', RouteKind.Streaming, { resumable: true })
     expect({ received: second.received, text: responder.text, ending: responder.ending }).toEqual({ received: ['q1'], text: 'id: 1\ndata: a\n\n', ending: 'aborted' })
     expect(ending).toMatch(/^aborted: /)
   })
+
+  // Guards against a caller whose answer is closed in the middle while its runner only pauses.
+  test('is not cut when its runner falls silent for longer than a second and no other runner has a place', async () => {
+    const pausing = await startServer((socket, id) => {
+      socket.write(`${streamHead(id)}id: 1\ndata: a\n\n`)
+      setTimeout(() => socket.end('id: 2\ndata: b\n\n'), 1800)
+    })
+    const context = { ...createContext([pausing], RunnerRole.Decode) }
+    context.placer = { ...context.placer, place: (_pending, excluded) => Promise.resolve(excluded.length === 0 ? { prefill: null, decode: 'b1' } : noRunner) }
+    const { ending, responder } = await send(context, 'q1', RouteKind.Streaming, { resumable: true, timeoutMs: 4000 })
+    expect({ ending, text: responder.text, received: pausing.received }).toEqual({ ending: 'answered', text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', received: ['q1'] })
+  })
 })
 
 describe('an answer that ends inside its head', () => {
