Let requests in flight end when their server's entry disappears

What callers saw: a 502 with `outcome-unknown`, also for requests that may run only once and that their server ran to the end, when the server's entry was removed while it worked. A server serves on for the drain time after its entry is gone.

Cause: every 300 ms the connections to addresses that are no longer in the table were closed with `Agent.destroy()`, which also destroys the connections in use. The runners' streams have connections of their own and were not affected.

Change: the connection pool of such an address is retired. Its idle connections are closed, each of the others when its request ends, and an address that is used again gets a new pool.

--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -70,7 +70,7 @@
 
 /** HTTP client with one connection pool for each server address. */
 export class HttpExchangeClient {
-  readonly #agents = new Map<string, Agent>()
+  readonly #agents = new Map<string, IdleCheckingAgent>()
   readonly #ownConnections = new ConnectingAgent({ keepAlive: false })
 
   start (request: ExchangeRequest): Exchange {
@@ -88,16 +88,16 @@
     return { head, cancel: () => { clientRequest.destroy() } }
   }
 
-  /** Closes the connections to all addresses except the given ones. */
+  /** Keeps no connections to other addresses than the given ones. Requests in flight to them still end, as a server serves on for some time after its entry has been removed. */
   retain (addresses: Set<string>): void {
     for (const [address, agent] of this.#agents) {
       if (addresses.has(address)) continue
-      agent.destroy()
+      agent.retire()
       this.#agents.delete(address)
     }
   }
 
-  #agentOf (address: string): Agent {
+  #agentOf (address: string): IdleCheckingAgent {
     const existing = this.#agents.get(address)
     if (existing !== undefined) return existing
     const agent = new IdleCheckingAgent({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo' })
@@ -126,7 +126,16 @@
 
 /** An agent that closes an idle connection when bytes arrive on it, since they would be taken for the response to the next request. */
 class IdleCheckingAgent extends ConnectingAgent {
+  #retired = false
+
+  /** Closes the idle connections, and each of the others when its request ends. `destroy()` would also cut the requests in flight. */
+  retire (): void {
+    this.#retired = true
+    for (const socket of Object.values(this.freeSockets).flat()) socket?.destroy()
+  }
+
   override keepSocketAlive (socket: Socket): boolean {
+    if (this.#retired) return false
     const maxIdleMs = maxIdleMsOf(socket)
     if (maxIdleMs <= 0) return false
     socket.setKeepAlive(true)
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -27,6 +27,11 @@
   return await exchange.head
 }
 
+async function until (condition: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 200 && !condition(); tries += 1) await new Promise((resolve) => setTimeout(resolve, 5))
+  expect(condition()).toBe(true)
+}
+
 async function bodyOf (head: Head): Promise<string | null> {
   if (isFailure(head)) throw new Error(head.detail)
   return (await readBody(head, LIMIT_BYTES))?.toString() ?? null
@@ -87,6 +92,57 @@
     client.retain(new Set())
   })
 
+  // Guards against requests that are cut, though their server still answers them, when its entry disappears before the drain time is over.
+  test('lets the requests in flight to an address that is dropped end, and closes its connections then', async () => {
+    const open = new Set<Socket>()
+    const responses: Array<() => void> = []
+    const respondLater = (socket: Socket): void => {
+      open.add(socket)
+      socket.on('close', () => open.delete(socket))
+      responses.push(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'))
+    }
+    const address = await serve(respondLater, respondLater)
+    const client = new HttpExchangeClient()
+    const idle = get(client, address)
+    const busy = get(client, address)
+    await until(() => responses.length === 2)
+    responses[0]?.()
+    expect(await bodyOf(await idle)).toBe('late')
+    expect(open.size).toBe(2)
+    client.retain(new Set())
+    await until(() => open.size === 1)
+    responses[1]?.()
+    expect(await bodyOf(await busy)).toBe('late')
+    await until(() => open.size === 0)
+  })
+
+  // Guards against requests that are sent on the connections of a server whose address another server uses again.
+  test('opens new connections to an address that was dropped and is used again, while the old requests end', async () => {
+    const sockets: Socket[] = []
+    let respond = (): void => {}
+    const address = await serve(
+      (socket) => {
+        sockets.push(socket)
+        respond = () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold')
+      },
+      ...Array.from({ length: 2 }, () => (socket: Socket) => {
+        sockets.push(socket)
+        socket.write('HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew')
+      }))
+    const client = new HttpExchangeClient()
+    const old = get(client, address)
+    await until(() => sockets.length === 1)
+    client.retain(new Set())
+    client.retain(new Set([address]))
+    expect(await bodyOf(await get(client, address))).toBe('new')
+    respond()
+    expect(await bodyOf(await old)).toBe('old')
+    expect(await bodyOf(await get(client, address))).toBe('new')
+    expect(sockets[1]).not.toBe(sockets[0])
+    expect(sockets[2]).toBe(sockets[1])
+    client.retain(new Set())
+  })
+
   test('reports a refused connection as not sent and a reset one as broken', async () => {
     const address = await serve((socket) => socket.resetAndDestroy())
     expect(await get(new HttpExchangeClient(), address)).toMatchObject({ outcome: ExchangeOutcome.Broken })
