Pass on answers whose status line Node.js refuses to write

What callers saw: their connection closed without an answer, though the server had run the request to the end, if the reason phrase of the answer held a control character or its status was below 100. Plain answers and streams alike. Reasoned from the code: a failed answer that is kept for the timeout would throw in the timer and end the process.

Cause: Node.js reads such status lines, but `writeHead` throws on them. As the head counted as sent, the request was aborted.

Evidence: on the code before, four of the tests with a caller's socket got no byte, and the log had `request.fault` with ERR_INVALID_CHAR or ERR_HTTP_INVALID_STATUS_CODE.

Change: characters that can't be written are left out of the reason phrase, and a final status below 200 is no valid response, so that the request is of unknown outcome.

Measured: lint, type check and the tests of test/gateway and test/platform pass.

--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -1,5 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
-import { answerTo, type HttpGateway, requestBytes, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
+import { answerTo, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
 
 let server: ScriptedServer | undefined
 let instance: HttpGateway | undefined
@@ -19,6 +19,8 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
+const streamHeaders = 'X-Token-Counts: 10,10\r\n'
+
 describe('a request in flight to a server whose entry disappears', () => {
   // Guards against requests that end with 502, though their server serves on after it has left the table.
   test('is answered by that server', async () => {
@@ -31,3 +33,29 @@
     expect(await caller.until('late')).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*late$/)
   })
 })
+
+describe('an answer with an unusual status line', () => {
+  const headers = (head: string): string => `X-Request-Id: ${requestIdOf(head)}\r\nX-Response-Signature: s\r\n`
+
+  // Guards against connections that are closed without an answer, because Node.js refuses to write what it has read.
+  test.each([
+    ['a control character in a plain answer', '/once/x', 'O\u0001K'],
+    ['a control character in a stream', '/stream/x', 'O\u0001K'],
+    ['bytes beyond ASCII', '/once/x', 'O\u00e9K'],
+    ['no reason', '/once/x', '']
+  ])('reaches the caller: %s', async (_name, path, reason) => {
+    const { instance } = await start((socket, head) => { socket.end(`HTTP/1.1 200 ${reason}\r\n${headers(head)}Content-Length: 16\r\n\r\nid: 1\ndata: ok\n\n`, 'latin1') })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', path, { method: 'POST', headers: streamHeaders }))
+    expect(await caller.until('ok\n\n')).toMatch(/^HTTP\/1\.1 200 [^]*ok\n\n$/)
+    expect(caller.closedBy()).toBeNull()
+  })
+
+  // Guards against connections that are closed without an answer, because Node.js refuses to write what it has read.
+  test.each(['/once/x', '/stream/x'])('is of unknown outcome if its status is out of range: %s', async (path) => {
+    const { instance } = await start((socket, head) => { socket.end(`HTTP/1.1 099 OK\r\n${headers(head)}Content-Length: 2\r\n\r\nok`) })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', path, { method: 'POST', headers: streamHeaders }))
+    expect(await caller.until('0\r\n\r\n')).toMatch(/^HTTP\/1\.1 502 [^]*outcome-unknown/)
+  })
+})
