Cut a silent stream only when another runner has accepted it

After a place had been decided, the stream was cut first and then processed, sent and perhaps rejected elsewhere; each failure on that way ended the answer in the middle (200), although the first runner would have gone on.

Cause: break before make. And without an answer of the coordinator, this instance alone decided on a place without knowing the runs of the others.

Change: the prefill runs while the stream is still relayed; then its reading pauses, and the other runner may accept or reject the request. The first one is cut on acceptance, or after 200 ms without a decision, as two runners must not work on one stream. A rejection, an error, a failed prefill or bytes of the first runner keep the stream there. The objective of a search is the next event before the caller gives up. An alternative place is never decided alone. The prefills of a request and the relayed stream have files of their own now; request.ended counts the tokens of the last place again.

--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -43,11 +43,17 @@
 /** Share of its remaining time, until its deadline or the route's timeout, that a request may wait for a placement; the stream needs the rest. */
 const MAX_WAIT_SHARE_OF_REMAINING_TIME = 0.4
 
+/** Least time for which a request for an alternative place waits, in milliseconds; the caller may wait longer than it has to. */
+const MIN_ALTERNATIVE_PATIENCE_MS = 300
+
 type Decision = Placement | RefusedPlacement
 
 /** The decision on a request that ended while it waited; nothing uses its values. */
 const ENDED_WHILE_WAITING: RefusedPlacement = { refusal: PlacementRefusal.CallerDisconnected, retryAfterMs: 0, waiting: 0, runs: 0 }
 
+/** The decision on an alternative place while no coordinator answers. */
+const NO_COORDINATOR: RefusedPlacement = { refusal: PlacementRefusal.NoCoordinator, retryAfterMs: 0, waiting: 0, runs: 0 }
+
 /** A decision and the IP address of the instance that made it. */
 interface Decided {
   coordinator: string
@@ -130,14 +136,14 @@
     return this.#recordDecision(pending, request, decided)
   }
 
-  placeAlternative (pending: PendingRequest): AlternativePlacement {
+  placeAlternative (pending: PendingRequest, silentMs: number): AlternativePlacement {
     this.#alternativeCount += 1
-    const request = { ...this.#placementRequestOf(pending), id: `${pending.request.id}/${this.#alternativeCount}` }
+    const request = this.#alternativeRequestOf(pending, silentMs)
     const wait = new AlternativeWait({ pending })
     let decided: Decided | null = null
     let accepted = false
     wait.whenEnded(() => { if (decided !== null && !accepted) this.#releasePlacement(request.id, decided.coordinator) })
-    const decision = this.#decide(request, wait).then((result) => {
+    const decision = this.#decide(request, wait, { alone: false }).then((result) => {
       decided = result
       if (wait.ended && !accepted) this.#releasePlacement(request.id, result.coordinator)
       return result.decision
@@ -154,8 +160,8 @@
     }
   }
 
-  /** Asks the coordinator of the request's service, or decides alone if none answers. */
-  async #decide (request: PlacementRequest, waiter: Waiter): Promise<Decided> {
+  /** Asks the coordinator of the request's service. If none answers, it decides alone or, with `alone` false, refuses. */
+  async #decide (request: PlacementRequest, waiter: Waiter, { alone = true }: { alone?: boolean } = {}): Promise<Decided> {
     for (let attempt = 0; attempt < MAX_COORDINATORS && !waiter.ended; attempt += 1) {
       const coordinator = this.#coordinatorOf(request.service)
       const decision = coordinator === this.#options.ip
@@ -167,6 +173,8 @@
       // Another instance would not know the runs of a coordinator that is still alive, so this instance decides alone.
       if (!dead) break
     }
+    // Alone, this instance does not see the runs of the others, so it can't tell that another place is better than the present one.
+    if (!alone) return { coordinator: this.#coordinatorOf(request.service), decision: NO_COORDINATOR }
     return { coordinator: this.#options.ip, decision: await this.#submitTo(this.#options.localScheduler, request, waiter) }
   }
 
@@ -227,6 +235,17 @@
     }
   }
 
+  /** The request for another place of a begun stream: its objective is to make the next event before the caller gives up. */
+  #alternativeRequestOf (pending: PendingRequest, silentMs: number): PlacementRequest {
+    const leftMs = giveUpMs(pending.route) - silentMs
+    return {
+      ...this.#placementRequestOf(pending),
+      id: `${pending.request.id}/${this.#alternativeCount}`,
+      objectiveLeftMs: leftMs,
+      patienceMs: Math.max(MIN_ALTERNATIVE_PATIENCE_MS, leftMs - FIRST_EVENT_RESERVE_MS)
+    }
+  }
+
   #submitTo (scheduler: PlacementScheduler, request: PlacementRequest, waiter: Waiter): Promise<Decision> {
     return new Promise((resolve) => {
       scheduler.submit(request, resolve)
@@ -283,7 +302,9 @@
     const tokensPerEvent = this.#options.engine(service)?.tokensPerEvent ?? 1
     this.#runs.set(requestId, { id, service, decode: decision.decode, promptTokens, output, madeTokens: 0, tokensPerEvent, coordinator })
     pending.whenEnded(() => {
-      pending.addLogFields({ estimatedTokens: output.estimateTokens ?? 'none', madeTokens: this.#runs.get(requestId)?.madeTokens ?? 0 })
+      const run = this.#runs.get(requestId)
+      if (run?.id !== id) return
+      pending.addLogFields({ estimatedTokens: output.estimateTokens ?? 'none', madeTokens: run.madeTokens })
       this.#release(requestId)
     })
     return decision
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -32,6 +32,8 @@
   RateLimited = 'rate-limited',
   /** Decode memory was free, but no prefill runner could process the prompt in time. */
   PrefillBusy = 'prefill-busy',
+  /** No coordinator answered. */
+  NoCoordinator = 'no-coordinator',
   /** The caller disconnected before the decision. */
   CallerDisconnected = 'caller-left'
 }
--- a/src/gateway/placer.ts
+++ b/src/gateway/placer.ts
@@ -14,8 +14,8 @@
 export interface Placer {
   /** Waits for a placement or a refusal; `excluded` holds the ids of runners that have already failed this request. */
   place: (pending: PendingRequest, excluded: string[]) => Promise<Placement | RefusedPlacement>
-  /** Asks for another place for a request that keeps its present one until the other one is accepted. */
-  placeAlternative: (pending: PendingRequest) => AlternativePlacement
+  /** Asks for another place for a request that keeps its present one until the other one is accepted. `silentMs` is the time since the last event of its stream. */
+  placeAlternative: (pending: PendingRequest, silentMs: number) => AlternativePlacement
   /** Records that the prefill runner has processed the prompt or will not process it; `tokensPerMs` is the measured rate, or null. */
   recordPrefillDone: (requestId: string, tokensPerMs: number | null) => void
   /** Records that an event of the stream has arrived. */
--- a/src/gateway/silence-watch.ts
+++ b/src/gateway/silence-watch.ts
@@ -7,17 +7,17 @@
   silenceMs: number
   /** Asks for another place; null if the stream can't be moved. */
   seek: () => AlternativePlacement | null
-  /** Why the stream can't be moved to this place; null if it can, and then it is. */
-  obstacle: (placement: Placement) => string | null
+  /** Takes the stream to this place; resolves to the reason if it stays at its runner, or to null. `isSilent` tells whether it still needs another place. */
+  move: (placement: Placement, isSilent: () => boolean) => Promise<string | null>
   /** Called when no other place was found. */
   onKept: (reason: string) => void
-  /** Called once, when another place has been accepted. */
-  onMove: (placement: Placement) => void
+  /** Called once, when the stream goes on at another place. */
+  onMoved: () => void
   log: Log
 }
 
 /**
- * Seeks another place for a stream while its runner is silent. The runner keeps the stream until there is one,
+ * Seeks another place for a stream while its runner is silent. The runner keeps the stream until another one has taken it over,
  * as it may only be pausing, or may have preempted the run for a while.
  */
 export class SilenceWatch {
@@ -29,7 +29,7 @@
     this.#options = options
   }
 
-  /** Call it when the stream begins and when bytes of it arrive. */
+  /** Call it when the stream begins, when bytes of it arrive and when it is no longer paused. */
   restart (): void {
     this.stop()
     this.#timer = setTimeout(() => {
@@ -50,11 +50,14 @@
     const decision = await search.decision
     if (this.#search !== search) return
     if ('refusal' in decision) return this.#keep(decision.refusal)
-    const obstacle = this.#options.obstacle(decision)
-    if (obstacle !== null) return this.#keep(obstacle)
+    const reasonToStay = await this.#options.move(decision, () => this.#search === search)
+    if (reasonToStay !== null) {
+      if (this.#search === search) this.#keep(reasonToStay)
+      return
+    }
     this.#search = null
     search.accept()
-    this.#options.onMove(decision)
+    this.#options.onMoved()
   }
 
   #keep (reason: string): void {
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,17 +1,19 @@
 import type { BackendServer } from './backend.js'
 import type { KvCacheHandle } from './backend-client.js'
 import { EventSplitter } from './event-splitter.js'
-import { ExchangeOutcome, mayRunTwice } from './exchange-outcome.js'
+import { ExchangeOutcome, mayRunTwice, provesNotRun } from './exchange-outcome.js'
 import { chargeAtTimeout, FIRST_UNSUCCESSFUL_STATUS, limitWaitMs, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 import type { PromptQuarantine, PromptStart } from './prompt-quarantine.js'
 import { type Placement, PlacementRefusal, type RefusedPlacement } from './placement.js'
 import type { Placer } from './placer.js'
+import { PromptPrefill } from './prompt-prefill.js'
 import { GatewayRefusal } from './refusal.js'
+import { RelayedStream, RelayEnd } from './relayed-stream.js'
 import { SilenceWatch } from './silence-watch.js'
 
-/** Largest response body that is buffered instead of streamed, in bytes: that of a prefill response or of a response that is not a stream. */
+/** Largest response body that is buffered instead of streamed, in bytes: that of a response that is not a stream. */
 const MAX_BUFFERED_BODY_BYTES = 64 * 1024
 
 /** Largest event of a stream, in bytes; an event holds some tokens and usually has less than a kilobyte. */
@@ -20,15 +22,12 @@
 /** Largest stream of one run, in bytes; ten thousand events of a kilobyte. */
 const MAX_STREAM_BYTES = 16 * 1024 * 1024
 
-/** Timeout of a prefill, in milliseconds; a healthy runner responds within a few hundred. */
-const PREFILL_TIMEOUT_MS = 1500
-
-/** Age up to which the KV cache of a prompt that was not sent to a decode runner is sent to another one, in milliseconds; prefill runners soon evict it. */
-const MAX_KV_CACHE_AGE_MS = 250
-
 /** Silence after which another runner is sought for a resumable stream, in milliseconds; callers give up after 2000 ms. */
 const RESUME_AFTER_SILENCE_MS = 1200
 
+/** Time for which the present runner's stream waits while another runner may accept or reject it, in milliseconds; then it is cut, as two runners must not work on one stream. */
+const TAKEOVER_DECISION_MS = 200
+
 /** Upper bound of the random part of `Retry-After`, in milliseconds, which keeps callers from retrying all at once. The fixed part has the same value unless a refused placement states one. */
 const RETRY_AFTER_MS = 1500
 
@@ -41,14 +40,10 @@
   quarantine: PromptQuarantine
 }
 
-/** How the relayed stream of a runner ended. */
-enum RelayEnd {
-  Complete = 'complete',
-  Broken = 'broken',
-  /** The gateway closed the connection, because the stream was too large. */
-  GivenUp = 'given-up',
-  /** The gateway closed the connection, because the stream was silent and another runner has a place for it. */
-  Moved = 'moved'
+/** The runner to which a silent stream was moved, and its response. */
+interface Takeover {
+  decodeServer: BackendServer
+  response: Promise<SendResult>
 }
 
 /** Serves one streaming request: requests a placement, runs the prefill, relays the stream and, on a resumable route, resumes a broken stream on another runner. */
@@ -61,51 +56,40 @@
   readonly #context: StreamForwardingContext
   readonly #pending: PendingRequest
   readonly #eventSplitter: EventSplitter
+  readonly #prefill: PromptPrefill
   #sending = false
   /** When the request was last sent to a decode runner, in milliseconds. */
   #sentToDecodeMs = 0
-  #prefillCount = 0
-  /** When the last prefill ended, in milliseconds. */
-  #computedMs = 0
   /** When the response head or the last bytes of the stream arrived, in milliseconds. */
   #lastBytesMs = 0
-  /** KV cache of the prompt that no decode runner has been asked to take over. */
-  #unusedKvCache: KvCacheHandle | null = null
-  /** Place on another runner, found while the present one was silent. */
-  #alternative: Placement | null = null
+  #takeover: Takeover | null = null
+  /** Ids of the decode runners that failed this request or lost it to another one. */
+  readonly #excluded: string[] = []
 
   constructor (context: StreamForwardingContext, pending: PendingRequest) {
     this.#context = context
     this.#pending = pending
     this.#eventSplitter = new EventSplitter({ lastEventId: pending.request.lastEventId })
+    this.#prefill = new PromptPrefill({ context, pending, retryAfterMs: () => this.#retryAfterMs() })
   }
 
   async run (): Promise<void> {
     const { placer } = this.#context
     const pending = this.#pending
     pending.onTimeout = () => refuseAtTimeout(pending, this.#sending)
-    pending.whenEnded(() => this.#freeUnusedKvCache())
-    const excluded: string[] = []
+    pending.whenEnded(() => this.#prefill.freeUnused())
     for (;;) {
       if (this.#refuseIfQuarantined()) return
-      const decision = this.#takeAlternative() ?? await placer.place(pending, excluded)
+      const decision = await placer.place(pending, this.#excluded)
       if (pending.ended || this.#refuseIfQuarantined()) return
       if ('refusal' in decision) return this.#refuseUnplaced(decision)
       const outcome = await this.#attempt(decision)
       if (outcome === null || pending.ended) return
-      excluded.push(decision.decode)
-      // A retry was consumed for an alternative before the stream was moved.
-      if (this.#alternative === null && !tryConsumeRetry(this.#context, pending, outcome)) break
+      if (!tryConsumeRetry(this.#context, pending, outcome)) break
     }
     refuseUnanswered(pending, this.#retryAfterMs())
   }
 
-  #takeAlternative (): Placement | null {
-    const alternative = this.#alternative
-    this.#alternative = null
-    return alternative
-  }
-
   #refuseUnplaced (decision: RefusedPlacement): void {
     const pending = this.#pending
     this.#context.log.info('placement.refused', {
@@ -173,28 +157,33 @@
   async #attempt (placement: Placement): Promise<Exclude<ExchangeOutcome, ExchangeOutcome.Answered> | null> {
     const { backends, placer } = this.#context
     const decodeServer = backends.get(placement.decode)
+    this.#excluded.push(placement.decode)
     if (decodeServer === undefined || !backends.accepts(decodeServer)) return ExchangeOutcome.NotSent
-    const kvCache = this.#takeUnusedKvCache() ?? await this.#computeKvCache(placement)
+    const kvCache = this.#prefill.takeUnused() ?? await this.#prefill.compute(placement)
     placer.recordPrefillDone(this.#pending.request.id, null)
     if (this.#pending.ended || this.#refuseIfQuarantined()) {
       if (kvCache !== null) this.#context.backendClient.freeKvCache(kvCache)
       return null
     }
     let result = await this.#sendToDecode(decodeServer, kvCache)
-    if (result.outcome === ExchangeOutcome.NotSent && kvCache !== null) this.#keepUnusedKvCache(kvCache)
+    if (result.outcome === ExchangeOutcome.NotSent && kvCache !== null) this.#prefill.keepUnused(kvCache)
     if (result.outcome === ExchangeOutcome.Rejected && kvCache !== null && !this.#pending.ended && await this.#mayRepeat(decodeServer)) {
       // The prefill runner may have evicted the KV cache of the prompt, so the decode runner computes the prompt itself.
       logFailedSend(this.#context, this.#pending, decodeServer, result)
       result = await this.#sendToDecode(decodeServer, null)
     }
-    if (this.#pending.ended) return null
-    if (result.outcome !== ExchangeOutcome.Answered) {
-      logFailedSend(this.#context, this.#pending, decodeServer, result)
-      placer.recordRunnerFailure(this.#pending.service, decodeServer.id)
-      if (result.outcome === ExchangeOutcome.Broken && await this.#endIfRunnerCrashed(decodeServer)) return null
-      return result.outcome
-    }
-    return await this.#relay(decodeServer, result.head)
+    return await this.#relayResult(decodeServer, result)
+  }
+
+  /** Relays the stream of a runner's response. Returns the outcome that made this attempt fail, or null if the request has ended. */
+  async #relayResult (decodeServer: BackendServer, result: SendResult): Promise<Exclude<ExchangeOutcome, ExchangeOutcome.Answered> | null> {
+    const pending = this.#pending
+    if (pending.ended) return null
+    if (result.outcome === ExchangeOutcome.Answered) return await this.#relay(decodeServer, result.head)
+    logFailedSend(this.#context, pending, decodeServer, result)
+    this.#context.placer.recordRunnerFailure(pending.service, decodeServer.id)
+    if (result.outcome === ExchangeOutcome.Broken && await this.#endIfRunnerCrashed(decodeServer)) return null
+    return result.outcome
   }
 
   /** Whether the request may be sent to the decode runner once more. The placement allowed for one send only. */
@@ -203,68 +192,6 @@
     return !this.#pending.ended && this.#context.retryBudget.tryConsume(this.#pending.service)
   }
 
-  async #computeKvCache ({ prefill }: Placement): Promise<KvCacheHandle | null> {
-    const prefillServer = prefill === null || !this.#reservePrefill() ? undefined : this.#context.backends.get(prefill)
-    return prefillServer === undefined ? null : await this.#runPrefill(prefillServer)
-  }
-
-  #keepUnusedKvCache (kvCache: KvCacheHandle): void {
-    this.#unusedKvCache = kvCache
-    if (this.#pending.ended) this.#freeUnusedKvCache()
-  }
-
-  /** The KV cache that was not used by an earlier attempt, if the prefill runner still holds it. */
-  #takeUnusedKvCache (): KvCacheHandle | null {
-    if (this.#context.nowMs() - this.#computedMs > MAX_KV_CACHE_AGE_MS) this.#freeUnusedKvCache()
-    const kvCache = this.#unusedKvCache
-    this.#unusedKvCache = null
-    return kvCache
-  }
-
-  #freeUnusedKvCache (): void {
-    if (this.#unusedKvCache === null) return
-    this.#context.backendClient.freeKvCache(this.#unusedKvCache)
-    this.#unusedKvCache = null
-  }
-
-  /** Reserves one prefill for this request; false if it may not run. Every prefill after the first consumes a retry from the service's budget. */
-  #reservePrefill (): boolean {
-    if (this.#prefillCount > 0 && !this.#context.retryBudget.tryConsume(this.#pending.service)) return false
-    this.#prefillCount += 1
-    return true
-  }
-
-  async #runPrefill (prefillServer: BackendServer): Promise<KvCacheHandle | null> {
-    const { backendClient, placer, backends } = this.#context
-    const pending = this.#pending
-    if (!backends.accepts(prefillServer)) return null
-    const startedMs = this.#context.nowMs()
-    const deadlineMs = pending.remainingMs()
-    const result = await sendToServer(this.#context, pending, {
-      request: pending.request,
-      backend: prefillServer,
-      deadlineMs,
-      headTimeoutMs: Math.min(deadlineMs, PREFILL_TIMEOUT_MS),
-      ownConnection: true,
-      prefillOnly: true
-    })
-    const body = result.outcome === ExchangeOutcome.Answered ? await readBody(result.head, MAX_BUFFERED_BODY_BYTES, Math.max(0, startedMs + PREFILL_TIMEOUT_MS - this.#context.nowMs())) : null
-    const kvCache = body === null ? null : backendClient.parsePrefillResponse(prefillServer, body)
-    if (kvCache !== null) {
-      this.#computedMs = this.#context.nowMs()
-      const tokens = pending.request.generationParameters?.promptTokens ?? 0
-      placer.recordPrefillDone(pending.request.id, tokens / Math.max(1, this.#context.nowMs() - startedMs))
-      return kvCache
-    }
-    if (pending.ended) return null
-    if (result.outcome === ExchangeOutcome.Answered) this.#context.health.recordFailure(prefillServer, ExchangeOutcome.Broken)
-    logFailedSend(this.#context, pending, prefillServer, result)
-    // Sending the request to the decode runner after a failed prefill counts as a retry, unless the prefill was never sent. If the budget is exhausted, the request is refused.
-    if (result.outcome !== ExchangeOutcome.NotSent && !this.#context.retryBudget.tryConsume(pending.service)) refuseUnanswered(pending, this.#retryAfterMs())
-    placer.recordRunnerFailure(pending.service, prefillServer.id)
-    return null
-  }
-
   async #sendToDecode (decodeServer: BackendServer, kvCache: KvCacheHandle | null): Promise<SendResult> {
     const pending = this.#pending
     const deadlineMs = pending.remainingMs()
@@ -283,7 +210,7 @@
     return result
   }
 
-  async #relay (decodeServer: BackendServer, head: ResponseHead): Promise<ExchangeOutcome.Broken | ExchangeOutcome.Failed | null> {
+  async #relay (decodeServer: BackendServer, head: ResponseHead): Promise<Exclude<ExchangeOutcome, ExchangeOutcome.Answered> | null> {
     const pending = this.#pending
     const eventsBefore = this.#eventSplitter.eventCount
     // The caller has received the head and events of an earlier runner, so the error of this one can't be passed on.
@@ -315,12 +242,13 @@
       pending.complete()
       return null
     }
+    if (end === RelayEnd.Moved) return await this.#relayTakeover(decodeServer, events)
     this.#context.log.warn('stream.broken', {
       request: pending.request.id,
       route: pending.route.name,
       server: decodeServer.id,
       end,
-      silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs),
+      silentMs: this.#silentMs(),
       lastEvent: this.#eventSplitter.lastEventId ?? '',
       events,
       parts: pending.request.generationParameters?.sharedParts.join() ?? '',
@@ -333,6 +261,31 @@
     return ExchangeOutcome.Broken
   }
 
+  /** Goes on with the response of the runner that has taken the stream over. */
+  async #relayTakeover (from: BackendServer, events: number): Promise<Exclude<ExchangeOutcome, ExchangeOutcome.Answered> | null> {
+    const takeover = this.#takeover
+    this.#takeover = null
+    if (takeover === null) return ExchangeOutcome.Broken
+    const pending = this.#pending
+    this.#context.log.info('stream.moved', {
+      request: pending.request.id,
+      route: pending.route.name,
+      server: from.id,
+      to: takeover.decodeServer.id,
+      silentMs: this.#silentMs(),
+      lastEvent: this.#eventSplitter.lastEventId ?? '',
+      events
+    })
+    this.#eventSplitter.discardPartialEvent()
+    this.#excluded.push(takeover.decodeServer.id)
+    this.#context.placer.recordPrefillDone(pending.request.id, null)
+    return await this.#relayResult(takeover.decodeServer, await takeover.response)
+  }
+
+  #silentMs (): number {
+    return Math.round(this.#context.nowMs() - this.#lastBytesMs)
+  }
+
   #rejectFailedResumption (decodeServer: BackendServer, { status, message }: ResponseHead): void {
     const pending = this.#pending
     message.destroy()
@@ -341,7 +294,7 @@
     logFailedSend(this.#context, pending, decodeServer, { outcome: ExchangeOutcome.Failed, detail: `status ${status} after the stream had begun` })
   }
 
-  #watchSilence (decodeServer: BackendServer, onMove: () => void): SilenceWatch {
+  #watchSilence (decodeServer: BackendServer, relayed: RelayedStream): SilenceWatch {
     const { placer, log } = this.#context
     const pending = this.#pending
     const fields = { request: pending.request.id, route: pending.route.name, server: decodeServer.id }
@@ -349,16 +302,13 @@
       silenceMs: RESUME_AFTER_SILENCE_MS,
       seek: () => {
         if (!this.#mayMove()) return null
-        log.info('stream.silent', { ...fields, silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs), lastEvent: this.#eventSplitter.lastEventId ?? '' })
+        log.info('stream.silent', { ...fields, silentMs: this.#silentMs(), lastEvent: this.#eventSplitter.lastEventId ?? '' })
         placer.recordRunnerFailure(pending.service, decodeServer.id)
-        return placer.placeAlternative(pending)
-      },
-      obstacle: (placement) => this.#obstacleToMove(decodeServer, placement),
-      onKept: (reason) => log.info('stream.kept', { ...fields, silentMs: Math.round(this.#context.nowMs() - this.#lastBytesMs), reason }),
-      onMove: (placement) => {
-        this.#alternative = placement
-        onMove()
+        return placer.placeAlternative(pending, this.#silentMs())
       },
+      move: async (placement, isSilent) => this.#obstacleToMove(decodeServer, placement) ?? await this.#move(placement, isSilent, relayed),
+      onKept: (reason) => log.info('stream.kept', { ...fields, silentMs: this.#silentMs(), reason }),
+      onMoved: () => relayed.stop(RelayEnd.Moved),
       log
     })
   }
@@ -378,6 +328,30 @@
     return retryBudget.tryConsume(this.#pending.service) ? null : 'retry-budget'
   }
 
+  /** Sends the request to another runner, and returns why that did not take the stream over, or null. The present stream stays open until then. */
+  async #move ({ prefill, decode }: Placement, isSilent: () => boolean, relayed: RelayedStream): Promise<string | null> {
+    const { backends, backendClient, log } = this.#context
+    const kvCache = await this.#prefill.tryCompute(prefill)
+    const next = backends.get(decode)
+    if (next === undefined || !backends.accepts(next) || !isSilent() || !this.#mayMove()) {
+      if (kvCache !== null) backendClient.freeKvCache(kvCache)
+      return 'not-needed'
+    }
+    relayed.hold()
+    const response = this.#sendToDecode(next, kvCache)
+    const decided = await Promise.race([response, delay(TAKEOVER_DECISION_MS)])
+    if (decided === undefined || (decided.outcome === ExchangeOutcome.Answered && decided.head.status < FIRST_UNSUCCESSFUL_STATUS)) {
+      this.#takeover = { decodeServer: next, response }
+      return null
+    }
+    if (decided.outcome === ExchangeOutcome.Answered) decided.head.message.destroy()
+    else logFailedSend(this.#context, this.#pending, next, decided)
+    if (kvCache !== null && decided.outcome !== ExchangeOutcome.Answered && provesNotRun(decided.outcome)) backendClient.freeKvCache(kvCache)
+    relayed.release()
+    log.info('stream.rejected', { request: this.#pending.request.id, server: decode, outcome: decided.outcome })
+    return decided.outcome
+  }
+
   #copyEvents (decodeServer: BackendServer, { message, isComplete }: ResponseHead, eventsBefore: number): Promise<RelayEnd> {
     const { placer, log, quarantine } = this.#context
     const sharedParts = this.#sharedParts
@@ -387,15 +361,14 @@
     return new Promise((resolve) => {
       let begun = false
       let streamBytes = 0
-      const silence = route.resumable ? this.#watchSilence(decodeServer, () => stop(RelayEnd.Moved)) : null
-      const settle = (end: RelayEnd): void => {
-        silence?.stop()
-        resolve(end)
-      }
-      const stop = (end: RelayEnd): void => {
-        settle(end)
-        message.destroy()
-      }
+      const relayed = new RelayedStream({
+        message,
+        onEnd: (end) => {
+          silence?.stop()
+          resolve(end)
+        }
+      })
+      const silence = route.resumable ? this.#watchSilence(decodeServer, relayed) : null
       message.on('data', (chunk: Buffer) => {
         this.#lastBytesMs = this.#context.nowMs()
         silence?.restart()
@@ -404,7 +377,7 @@
         streamBytes += chunk.length
         if (streamBytes > MAX_STREAM_BYTES || this.#eventSplitter.partialEvent.length > MAX_EVENT_BYTES) {
           log.warn('stream.oversized', { request: pending.request.id, server: decodeServer.id, bytes: streamBytes, eventBytes: this.#eventSplitter.partialEvent.length })
-          stop(RelayEnd.GivenUp)
+          relayed.stop(RelayEnd.GivenUp)
           return
         }
         placer.recordProgress(pending.request.id, this.#eventSplitter.lastEventId)
@@ -426,11 +399,15 @@
         const isEmpty = streamBytes === 0 && this.#eventSplitter.lastEventId === null
         const complete = isComplete() && !insideEvent && !isEmpty
         if (complete && route.resumable && partialEvent.length > 0 && !pending.ended) responder.write(partialEvent)
-        settle(complete ? RelayEnd.Complete : RelayEnd.Broken)
+        relayed.settle(complete ? RelayEnd.Complete : RelayEnd.Broken)
       })
-      message.on('error', () => settle(RelayEnd.Broken))
-      message.on('close', () => settle(RelayEnd.Broken))
+      message.on('error', () => relayed.settle(RelayEnd.Broken))
+      message.on('close', () => relayed.settle(RelayEnd.Broken))
       silence?.restart()
     })
   }
 }
+
+function delay (ms: number): Promise<undefined> {
+  return new Promise((resolve) => setTimeout(resolve, ms, undefined))
+}
--- a/test/gateway/placement-client.test.ts
+++ b/test/gateway/placement-client.test.ts
@@ -157,7 +157,7 @@
     test('keeps the present run until the alternative is accepted, then reports and releases the new one', async () => {
       const setup = fixture(['10.0.0.2'], placed('d2'))
       await setup.client.place(setup.pending, [])
-      const search = setup.client.placeAlternative(setup.pending)
+      const search = setup.client.placeAlternative(setup.pending, 1200)
       expect(await search.decision).toEqual({ prefill: null, decode: 'd2' })
       expect(released(setup)).toEqual([])
       search.accept()
@@ -172,18 +172,18 @@
     // Guards against places that stay reserved for a stream that did not move.
     test.each([
       ['withdrawn after the decision', async (setup: Fixture) => {
-        const search = setup.client.placeAlternative(setup.pending)
+        const search = setup.client.placeAlternative(setup.pending, 1200)
         await search.decision
         search.withdraw()
         search.accept()
       }],
       ['withdrawn before the decision', async (setup: Fixture) => {
-        const search = setup.client.placeAlternative(setup.pending)
+        const search = setup.client.placeAlternative(setup.pending, 1200)
         search.withdraw()
         await search.decision
       }],
       ['not used before the request ends', async (setup: Fixture) => {
-        await setup.client.placeAlternative(setup.pending).decision
+        await setup.client.placeAlternative(setup.pending, 1200).decision
         setup.responder.disconnect()
       }]
     ])('releases an alternative that is %s', async (_name, use) => {
@@ -195,5 +195,23 @@
       setup.client.sendReports()
       expect(setup.sent.flatMap(({ message }) => message.kind === PeerDatagramKind.Report ? message.runs.map(({ id }) => id) : [])).not.toContain('q1/1')
     })
+
+    // Guards against streams cut for a place that an instance chose alone, without knowing the runs of the others.
+    test('is refused while the coordinator does not answer, and withdrawn from it', async () => {
+      const setup = fixture(['10.0.0.2'], placed('d2'))
+      await setup.client.place(setup.pending, [])
+      const silent = fixture(['10.0.0.2'])
+      const search = silent.client.placeAlternative(silent.pending, 1200)
+      expect(await search.decision).toMatchObject({ refusal: 'no-coordinator' })
+      search.withdraw()
+      expect(silent.sent.at(-1)).toMatchObject({ ip: '10.0.0.2', message: { kind: PeerDatagramKind.Release, id: 'q1/1' } })
+    })
+
+    // Guards against begun streams that never get another place, as each search ranked behind all requests that arrived later.
+    test('asks for the next event before the caller gives up', async () => {
+      const setup = fixture(['10.0.0.2'], placed('d2'))
+      await setup.client.placeAlternative(setup.pending, 1200).decision
+      expect(setup.sent[0]?.message).toMatchObject({ request: { objectiveLeftMs: 4 * 900 - 1200, patienceMs: 4 * 900 - 1200 - 250 } })
+    })
   })
 })
--- a/test/gateway/silence-watch.test.ts
+++ b/test/gateway/silence-watch.test.ts
@@ -11,7 +11,7 @@
 afterEach(() => { jest.useRealTimers() })
 
 /** A watch whose searches are decided by the test; records what happens. */
-function watched (obstacle: (placement: Placement) => string | null = () => null): { watch: SilenceWatch, calls: string[], decide: (decision: Placement | RefusedPlacement) => Promise<void> } {
+function watched (move: (placement: Placement, isSilent: () => boolean) => string | null | Promise<string | null> = () => null): { watch: SilenceWatch, calls: string[], decide: (decision: Placement | RefusedPlacement) => Promise<void> } {
   const calls: string[] = []
   let resolveDecision: (decision: Placement | RefusedPlacement) => void = () => {}
   const watch = new SilenceWatch({
@@ -20,9 +20,9 @@
       calls.push('sought')
       return { decision: new Promise((resolve) => { resolveDecision = resolve }), accept: () => calls.push('accepted'), withdraw: () => calls.push('withdrawn') }
     },
-    obstacle,
+    move: (placement, isSilent) => Promise.resolve(move(placement, isSilent)),
     onKept: (reason) => calls.push(`kept: ${reason}`),
-    onMove: ({ decode }) => calls.push(`moved to ${decode}`),
+    onMoved: () => calls.push('moved'),
     log: recordingLog()
   })
   return {
@@ -30,8 +30,7 @@
     calls,
     decide: async (decision) => {
       resolveDecision(decision)
-      await Promise.resolve()
-      await Promise.resolve()
+      for (let step = 0; step < 5; step += 1) await Promise.resolve()
     }
   }
 }
@@ -71,7 +70,7 @@
     jest.advanceTimersByTime(SILENCE_MS)
     await decide(place)
     jest.advanceTimersByTime(10 * SILENCE_MS)
-    expect(calls).toEqual(['sought', 'kept: no-runner', 'withdrawn', 'sought', 'accepted', 'moved to d2'])
+    expect(calls).toEqual(['sought', 'kept: no-runner', 'withdrawn', 'sought', 'accepted', 'moved'])
   })
 
   test('seeks nothing while bytes keep arriving', () => {
@@ -84,4 +83,24 @@
     jest.advanceTimersByTime(SILENCE_MS)
     expect(calls).toEqual([])
   })
+
+  // Guards against a stream that is moved although its runner has gone on meanwhile.
+  test('tells a move that is being prepared when bytes arrive, and reports no refusal of it then', async () => {
+    let isSilentAtEnd: boolean | null = null
+    let finish: () => void = () => {}
+    const { watch, calls, decide } = watched(async (_placement, isSilent) => {
+      await new Promise<void>((resolve) => { finish = resolve })
+      isSilentAtEnd = isSilent()
+      return 'not-needed'
+    })
+    watch.restart()
+    jest.advanceTimersByTime(SILENCE_MS)
+    await decide(place)
+    watch.restart()
+    finish()
+    for (let step = 0; step < 5; step += 1) await Promise.resolve()
+    watch.stop()
+    expect(isSilentAtEnd).toBe(false)
+    expect(calls).toEqual(['sought', 'withdrawn'])
+  })
 })
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -205,6 +205,56 @@
       expect(run.placerCalls).not.toContain('alternative accepted')
     })
 
+    // Guards against streams that are cut before the next runner has accepted them.
+    test.each<[string, ScriptedReaction]>([
+      ['rejects the request', notRun],
+      ['answers with an error', { status: 500, parts: ['bad'] }],
+      ['can not be reached', ExchangeOutcome.NotSent]
+    ])('keeps the stream when the other runner %s', async (_name, reaction) => {
+      const run = startForwarding({ route: resumable, alternative: { prefill: null, decode: 'd2' }, respond: (options) => options.backend.id === 'd2' ? reaction : respond(options) })
+      await run.done
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      expect(run.placerCalls).not.toContain('alternative accepted')
+    })
+
+    test.each<[string, ScriptedReaction]>([
+      ['fails', ExchangeOutcome.Broken],
+      ['is rejected', notRun]
+    ])('keeps the stream or moves it when a second prefill %s, and does not end it', async (_name, reaction) => {
+      let prefills = 0
+      // A slack of 3 allows the move and its prefill, but no retry for the failed prefill.
+      const run = startForwarding({ route: resumable, slack: 3, alternative: { prefill: 'p1', decode: 'd2' }, respond: (options) => isPrefill(options) && prefills++ > 0 ? reaction : respond(options) })
+      await run.done
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+    })
+
+    // Guards against two runs of one stream: the first runner went on while the other one prepared to take over.
+    test('keeps the stream when its runner goes on during the prefill of the move', async () => {
+      let prefills = 0
+      const run = startForwarding({
+        route: resumable,
+        alternative: { prefill: 'p1', decode: 'd2' },
+        respond: (options) => {
+          if (!isPrefill(options)) return respond(options)
+          prefills += 1
+          return prefills === 1 ? { parts: ['h1'] } : { parts: ['h', '2'], pauseMs: 800 }
+        }
+      })
+      await run.done
+      expect(run.backendClient.sent.map(({ backend: { id } }) => id)).toEqual(['p1', 'd1', 'p1'])
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      await new Promise((resolve) => setTimeout(resolve, 500))
+      expect(run.backendClient.freed).toEqual([{ address: '10.0.0.9:80', handle: 'h2' }])
+    })
+
+    // Guards against two runs of one stream: a runner that is slow to answer may already work on it.
+    test('cuts the first runner when the other one neither accepts nor rejects the request soon', async () => {
+      const run = startForwarding({ route: { ...resumable, timeoutMs: 2200 }, alternative: { prefill: null, decode: 'd2' }, respond: (options) => options.backend.id === 'd2' ? 'silent' : respond(options) })
+      await new Promise<void>((resolve) => run.pending.whenEnded(resolve))
+      expect(run.log.lines.find((line) => line.startsWith('stream.moved'))).toMatch(/server=d1 to=d2/)
+      expect(run.responder.text).toBe('id: 1\ndata: a\n\n')
+    })
+
     test('resumes the stream on another runner once that has a place, and consumes one retry', async () => {
       // A slack of 1.5 allows one retry.
       const run = startForwarding({ route: resumable, slack: 1.5, alternative: { prefill: null, decode: 'd2' }, respond })
