Watch for silence again after a slow caller has read on

What callers saw: a stream whose runner fell silent after the caller had once read slowly stayed there until its time ran out, and ended aborted, although another runner had a place. Found by review.

Cause: the watch stops when the stream pauses for the caller and was not started again when the caller had read.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -391,7 +391,10 @@
         // The stream pauses because the caller reads slowly, not because the runner is silent.
         silence?.stop()
         message.pause()
-        responder.onDrain(() => message.resume())
+        responder.onDrain(() => {
+          silence?.restart()
+          message.resume()
+        })
       })
       message.on('end', () => {
         const { partialEvent, insideEvent } = this.#eventSplitter
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -67,12 +67,18 @@
   readonly #disconnectEmitter = new EventEmitter()
 
   writeHead (head: ResponseHead): void { this.status = head.status }
+  /** Time after the next write for which the caller reads nothing, in milliseconds; null if it reads at once. */
+  pauseAfterNextWriteMs: number | null = null
+  #pauseMs = 0
+
   write (chunk: Buffer): boolean {
     this.text += chunk.toString()
-    return true
+    this.#pauseMs = this.pauseAfterNextWriteMs ?? 0
+    this.pauseAfterNextWriteMs = null
+    return this.#pauseMs === 0
   }
 
-  onDrain (): void {}
+  onDrain (resume: () => void): void { setTimeout(resume, this.#pauseMs) }
   end (): void { this.ending = 'ended' }
   abort (): void { this.ending = 'aborted' }
   refuse (refusal: GatewayRefusal, retryAfterMs: number | null): void {
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -205,6 +205,14 @@
       expect(run.placerCalls).not.toContain('alternative accepted')
     })
 
+    // Guards against streams that stay with a silent runner until they time out, because their caller once read slowly.
+    test('seeks another runner for a silent stream also after the caller has read slowly', async () => {
+      const run = startForwarding({ route: { ...resumable, timeoutMs: 4000 }, alternative: { prefill: null, decode: 'd2' }, respond: (options) => options.backend.id === 'd1' ? { parts: ['id: 1\ndata: a\n\n'], end: 'open' } : respond(options) })
+      run.responder.pauseAfterNextWriteMs = 50
+      await run.done
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+    })
+
     // Guards against streams that are cut before the next runner has accepted them.
     test.each<[string, ScriptedReaction]>([
       ['rejects the request', notRun],
