Send a runner's failure to the caller only once it is complete

What callers saw: the connection closed after the head of a failure (5xx) whose body broke off or was too large. Found by review.

Cause: the head was sent before the body was known to be complete, after which only aborting was left.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -218,19 +218,11 @@
       this.#rejectFailedResumption(decodeServer, head)
       return ExchangeOutcome.Failed
     }
+    if (head.status >= FIRST_UNSUCCESSFUL_STATUS) return await this.#passOnFailure(head)
     if (!pending.headSent) {
       pending.markHeadSent()
       pending.responder.writeHead(head)
     }
-    if (head.status >= FIRST_UNSUCCESSFUL_STATUS) {
-      const body = await readBody(head, MAX_BUFFERED_BODY_BYTES)
-      if (body === null) pending.abort('the answer broke off')
-      else {
-        pending.responder.write(body)
-        pending.complete()
-      }
-      return null
-    }
     const end = await this.#copyEvents(decodeServer, head, eventsBefore)
     if (pending.ended) {
       chargeAtTimeout(this.#context, pending, decodeServer)
@@ -286,6 +278,19 @@
     return Math.round(this.#context.nowMs() - this.#lastBytesMs)
   }
 
+  /** Sends a runner's failure to the caller once it is complete: after the head alone, an incomplete one could only be aborted. */
+  async #passOnFailure (head: ResponseHead): Promise<ExchangeOutcome.Broken | null> {
+    const pending = this.#pending
+    const body = await readBody(head, MAX_BUFFERED_BODY_BYTES)
+    if (pending.ended) return null
+    if (body === null) return ExchangeOutcome.Broken
+    pending.markHeadSent()
+    pending.responder.writeHead(head)
+    pending.responder.write(body)
+    pending.complete()
+    return null
+  }
+
   #rejectFailedResumption (decodeServer: BackendServer, { status, message }: ResponseHead): void {
     const pending = this.#pending
     message.destroy()
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -273,6 +273,13 @@
     })
   })
 
+  // Guards against a connection closed in the middle of an answer, where a truthful failure could still be sent.
+  test('answers a request whose runner broke off in the middle of a failure, instead of aborting it', async () => {
+    const { responder, pending, done } = startForwarding({ respond: (options) => isPrefill(options) ? { parts: ['h1'] } : { status: 500, parts: ['ba'], end: 'broken' } })
+    await done
+    expect([responder.status, responder.text, responder.ending, pending.ending]).toEqual([null, '', 'refused', 'outcome-unknown'])
+  })
+
   // Guards against a truncated answer that looks complete: a response without a length ends like one whose runner crashed.
   test('treats a stream that ends inside an event as broken off', async () => {
     const insideEvent = { parts: ['id: 1\ndata: a\n\nid: 2\nda'], end: 'whole' as const }
