Don't say that a request has not run after an internal fault

What callers could see: 503 (not run) for a request that had been written to a server, if an error was thrown before its response head arrived.

Cause: the refusal was chosen by the servers that had answered so far. The outcome after a fault is unknown, so the answer is 502.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -337,7 +337,8 @@
     const forwarded = route.kind === RouteKind.Streaming && isModelRequest ? forwardStream(this.#forwardingContext, pending) : forwardPlain(this.#forwardingContext, pending)
     forwarded.catch((error: unknown) => {
       this.#options.log.error('request.fault', { request: request.id, detail: error instanceof Error ? String(error.stack) : String(error) })
-      pending.refuse(pending.sentTo.size > 0 ? GatewayRefusal.OutcomeUnknown : GatewayRefusal.NoServer)
+      // The fault may have occurred after the request was written, so it can't be said that it has not run.
+      pending.refuse(GatewayRefusal.OutcomeUnknown)
     })
   }
 
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -137,6 +137,15 @@
     expect(gateway.backends.get('b9')).toBeDefined()
   })
 
+  // Guards against a request that is said not to have run although it was written before the fault.
+  test('answers a request that a fault ends as one of unknown outcome', async () => {
+    const { gateway } = servingInstance(() => { throw new Error('scripted') })
+    const responder = new RecordingResponder()
+    gateway.serve(callerRequest({ path: '/order/x', target: '/order/x' }), responder)
+    await flushEventLoop()
+    expect(responder.refusal).toBe('outcome-unknown')
+  })
+
   // Guards against an instance that has just joined, or was cut off, and sends requests with a part that the others have quarantined.
   test('learns quarantined prompt parts from the datagrams that follow each heartbeat of another instance', () => {
     const { gateway: knowing, sent } = servingInstance()
