Answer the complete requests before bytes that are no request

What callers saw: if unreadable bytes, or the slow head of a next request, followed a request that a server ran, they got 400 or 408 in place of its answer and the connection was closed. A 408 says that the request has not run. No log line told of it.

Cause: without a listener for `clientError`, Node.js writes its response to the connection although a request on it is being served.

Change: the complete requests are answered, and the last of their answers closes the connection. Without any, the status codes stay those of Node.js. `caller.unreadable` is logged.

--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -1,4 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
+import type { Socket } from 'node:net'
 import { answerTo, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
 
 let server: ScriptedServer | undefined
@@ -97,3 +98,49 @@
     expect([server.received.map(requestIdOf), server.connections.size, instance.gateway.inFlight]).toEqual([['q1'], 0, 0])
   })
 })
+
+describe('bytes that are no request', () => {
+  // Guards against a 400 or 408 in place of the answer to a request that runs.
+  test.each([
+    ['a line', 'rubbish\r\n\r\n'],
+    ['a chunk of a body', 'POST /once/x HTTP/1.1\r\nHost: h.example\r\nTransfer-Encoding: chunked\r\n\r\nz\r\n']
+  ])('close the connection only after the complete requests before them have been answered: %s', async (_name, bytes) => {
+    const { server, instance } = await start((socket, head) => { setTimeout(() => socket.write(answerTo(head, requestIdOf(head))), 50) })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x') + bytes)
+    await caller.until('no such text')
+    expect([server.received.map(requestIdOf), caller.text().match(/HTTP\/1\.1 .*|Connection: close/g), caller.text().endsWith('q2'), caller.closedBy()])
+      .toEqual([['q1', 'q2'], ['HTTP/1.1 200 OK', 'HTTP/1.1 200 OK', 'Connection: close'], true, 'fin'])
+  })
+
+  // Guards against a 408, which says that a request has not run, in place of the answer to a request that runs.
+  test('are not answered in place of a request that runs when the next head takes too long', async () => {
+    const { server, instance } = await start((socket, head) => { setTimeout(() => socket.write(answerTo(head)), 100) })
+    const caller = instance.call()
+    const connected = new Promise<Socket>((resolve) => instance.callers.once('connection', resolve))
+    caller.socket.write(`${requestBytes('q1', '/once/x')}GET /once/x`)
+    while (server.received.length === 0) await delay(5)
+    instance.callers.emit('clientError', Object.assign(new Error('too slow'), { code: 'ERR_HTTP_REQUEST_TIMEOUT' }), await connected)
+    await caller.until('no such text')
+    expect([caller.text().match(/HTTP\/1\.1 .*/g), caller.closedBy()]).toEqual([['HTTP/1.1 200 OK'], 'fin'])
+  })
+
+  test('are refused and logged if no request runs', async () => {
+    const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
+    const caller = instance.call()
+    caller.socket.write('rubbish\r\n\r\n')
+    expect(await caller.until('no such text')).toBe('HTTP/1.1 400 Bad Request\r\nConnection: close\r\n\r\n')
+    expect(instance.log.lines).toContain('caller.unreadable code=HPE_INVALID_METHOD unfinished=0')
+  })
+
+  // Guards against work for callers that have left in the middle of their next request.
+  test('end the requests before them if the caller has left', async () => {
+    const { server, instance } = await start(() => {})
+    const caller = instance.call()
+    caller.socket.write(`${requestBytes('q1', '/once/x')}GET /once/x`)
+    while (server.received.length === 0) await delay(5)
+    caller.socket.end()
+    await delay(100)
+    expect([server.connections.size, instance.gateway.inFlight]).toEqual([0, 0])
+  })
+})
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -110,6 +110,7 @@
     serve: (request, responder) => gateway.serve(request, responder),
     limits: () => gateway.configuration?.limits ?? null,
     stopping: () => gateway.stopping,
+    log,
     nowMs
   })
   callers.listen(0, '127.0.0.1')
