Wait for a slow server until the deadline if no other one is left

What callers saw: a 502 after 200 ms or six times the server's usual latency to a request that may run more than once, though its server was still at work and no other server of the service was left to try.

Cause: the head timeout depended on the route's kind and attempts only, not on whether there was a server for the next attempt.

The new test failed on the code before, with a head timeout of 200 ms instead of the route's.

Change: the short head timeout applies only while another server can be tried. A request to the only server left waits until its deadline, also if that server never answers; its caller gets 502 or 504 later than before.

--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -55,7 +55,7 @@
       continue
     }
     sending = true
-    const attempt = await sendOnce(context, pending, backend)
+    const attempt = await sendOnce(context, pending, backend, triedServers)
     if (pending.ended) return
     sending = false
     const hasResponse = 'body' in attempt
@@ -88,9 +88,10 @@
     .sort((a, b) => a.cost - b.cost)[0]?.backend
 }
 
-async function sendOnce (context: ForwardingContext, pending: PendingRequest, backend: BackendServer): Promise<AttemptResult> {
+async function sendOnce (context: ForwardingContext, pending: PendingRequest, backend: BackendServer, triedServers: Set<string>): Promise<AttemptResult> {
   const deadlineMs = pending.remainingMs()
-  const retryable = mayRunTwice(pending.route) && pending.route.attempts > pending.sentTo.size + 1
+  // Without another server to try, giving up a slow one would only lose its response.
+  const retryable = mayRunTwice(pending.route) && pending.route.attempts > pending.sentTo.size + 1 && chooseBackend(context, pending, triedServers) !== undefined
   const earlyTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, context.health.latencyMs(backend) * HEAD_TIMEOUT_LATENCY_FACTOR)
   const result = await sendToServer(context, pending, {
     request: pending.request,
--- a/test/gateway/plain-forwarding.test.ts
+++ b/test/gateway/plain-forwarding.test.ts
@@ -129,6 +129,18 @@
     expect(nonIdempotentRun.backendClient.sent[0]?.headTimeoutMs).toBeGreaterThan(1900)
   })
 
+  // Guards against requests that end with 502 although their server would still answer them and no other one could.
+  test('waits for a slow server until the deadline if no other server is left', async () => {
+    const { responder, backendClient, done } = startForwarding({
+      route: { timeoutMs: 2000, attempts: 3 },
+      respond: (sendNumber) => sendNumber === 1 ? ExchangeOutcome.TimedOut : { parts: ['late'] }
+    })
+    await done
+    expect(responder.text).toBe('late')
+    expect(backendClient.sent[0]?.headTimeoutMs).toBeLessThan(500)
+    expect(backendClient.sent[1]?.headTimeoutMs).toBeGreaterThan(1900)
+  })
+
   test('refuses a request as timed out soon after the route\'s timeout when the server does not respond, and cancels the exchange', async () => {
     const { responder, backendClient, pending } = startForwarding({ route: { ...nonIdempotent, timeoutMs: 60 }, respond: () => 'silent' })
     await new Promise((resolve) => setTimeout(resolve, 200))
