--- a/src/standin/platform-store-standin.ts
+++ b/src/standin/platform-store-standin.ts
@@ -35,7 +35,12 @@
 
   /** Writes an item as an operator or a backend server does. */
   put (key: string, value: unknown): void {
-    this.#write(key, Buffer.from(JSON.stringify(value)).toString('base64'))
+    this.putBytes(key, Buffer.from(JSON.stringify(value)))
+  }
+
+  /** Writes any bytes, as another writer may. */
+  putBytes (key: string, bytes: Buffer): void {
+    this.#write(key, bytes.toString('base64'))
   }
 
   remove (key: string): void {
