--- a/test/platform/http-backend-client.test.ts
+++ b/test/platform/http-backend-client.test.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events'
 import { type AddressInfo, createServer, type Server } from 'node:net'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
+import { RunnerRole } from '../../src/gateway/backend.js'
 import { type SendOptions, ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { type ResponseHead, HttpExchangeClient, isFailure } from '../../src/gateway/http-exchange.js'
 import { backend, callerRequest, recordingLog } from '../gateway/gateway-fixtures.js'
@@ -67,4 +68,12 @@
   ])('classifies the response head of %s', (_name, status, headers, meaning) => {
     expect(backendClient.classifyResponse(sendOptionsTo('10.0.0.1:80'), headOf(status, headers as Record<string, string>))).toBe(meaning)
   })
+
+  // Guards against an exception or unhandled rejection because of a server whose address no connection can be made to.
+  test('reports a runner at a port out of range as unreachable', async () => {
+    const runner = backend({ address: '127.0.0.1:70000', stage: RunnerRole.Decode })
+    backendClient.freeKvCache({ address: runner.address, handle: 'h1' })
+    expect(await backendClient.readRunnerState(runner)).toBeNull()
+    expect(await backendClient.sendOrder({ backend: runner, role: RunnerRole.Prefill, holder: 'a', fencingToken: 1, expectedOrdersAccepted: 0 })).toBe('unknown')
+  })
 })
--- a/test/platform/store-entries.test.ts
+++ b/test/platform/store-entries.test.ts
@@ -2,8 +2,13 @@
 import { decodeItem } from '../../platform/store-entries.js'
 
 function item (key: string, value: unknown): { Key: string, Value: string, Revision: number } {
-  const text = typeof value === 'string' ? value : JSON.stringify(value)
-  return { Key: key, Value: Buffer.from(text).toString('base64'), Revision: 9 }
+  const bytes = Buffer.isBuffer(value) ? value : Buffer.from(typeof value === 'string' ? value : JSON.stringify(value))
+  return { Key: key, Value: bytes.toString('base64'), Revision: 9 }
+}
+
+/** JSON text of a value that contains itself a hundred thousand times. */
+function nested (open: string, close: string): string {
+  return `${open.repeat(100_000)}1${close.repeat(100_000)}`
 }
 
 const runner = { Service: 's', Address: '10.0.0.9:8080', Zone: 'a', Version: 'v1', Slots: 64, State: 'ready', ColdRemainingMs: 0, Stage: 'decode', Sequence: 4, born: 17 }
@@ -33,11 +38,39 @@
     ['an unknown state', { ...runner, State: 'odd' }],
     ['a missing address', { ...runner, Address: undefined }],
     ['a field of the wrong type', { ...runner, Slots: 'many' }],
-    ['invalid JSON', '\u0000\u0001{']
+    ['invalid JSON', '\u0000\u0001{'],
+    ['bytes that are not UTF-8', Buffer.from([0xff, 0xfe, 0x80])],
+    ['null as its value', 'null'],
+    ['arrays within arrays as its value', nested('[', ']')],
+    ['objects within objects as its value', nested('{"a":', '}')],
+    ['arrays within arrays in a known field', JSON.stringify(runner).replace('"decode"', nested('[', ']'))]
   ])('reports an entry with %s as unreadable instead of as a server', (_name, value) => {
     expect(decodeItem(item('servers/i-1', value))).toMatchObject({ kind: 'unreadable', key: 'servers/i-1' })
   })
 
+  test('ignores how deeply a field that it does not use is nested', () => {
+    expect(decodeItem(item('servers/i-1', `{"Other":${nested('[', ']')},${JSON.stringify(runner).slice(1)}`))).toMatchObject({ kind: 'backend', backend: { id: 'i-1' } })
+  })
+
+  // Guards against requests that fail because they are sent to a server whose address or id the HTTP client can't use.
+  test.each([
+    ['a port over the largest one', 'i-1', '10.0.0.9:65536'],
+    ['a port far over the largest one', 'i-1', '10.0.0.9:99999999999999999999'],
+    ['port 0', 'i-1', '10.0.0.9:0'],
+    ['a number over 255 in its IP address', 'i-1', '10.0.0.300:80'],
+    ['a very long address', 'i-1', `${'1'.repeat(70_000)}.0.0.1:80`],
+    ['a host name', 'i-1', 'runner.example:80'],
+    ['two ports', 'i-1', '10.0.0.9:80:80'],
+    ['an empty id', '', '10.0.0.9:80'],
+    ['an id that ends a header', 'i-1\r\nX-Odd: 1', '10.0.0.9:80'],
+    ['an id that no header can hold', 'i-\u2603', '10.0.0.9:80'],
+    ['a very long id', 'i'.repeat(201), '10.0.0.9:80']
+  ])('reports an entry with %s as unreadable, with a short reason', (_name, id, address) => {
+    const change = decodeItem(item(`servers/${id}`, { ...runner, Address: address }))
+    expect(change).toMatchObject({ kind: 'unreadable', backendId: id })
+    expect(JSON.stringify(change).length).toBeLessThan(1000)
+  })
+
   test('ignores a key that the gateway does not use, and decodes the entry of an instance', () => {
     expect(decodeItem(item('op/other', {}))).toBeNull()
     expect(decodeItem(item('daisybarrow/instances/10.0.0.1', ''))).toEqual({ kind: 'instance', ip: '10.0.0.1' })
--- a/test/programs/odd-entries.test.ts
+++ b/test/programs/odd-entries.test.ts
@@ -54,7 +54,48 @@
   return Buffer.from(`{${Object.entries(fields).map(([name, json]) => `${JSON.stringify(name)}:${json}`).join()}}`)
 }
 
+/** JSON text of a value that contains itself a hundred thousand times. */
+function nested (open: string, close: string): string {
+  return `${open.repeat(100_000)}1${close.repeat(100_000)}`
+}
+
+/** Entries of no usable server, by the id in their key. */
+const oddEntries: Record<string, Buffer> = {
+  'i-port-over': entry({ Address: '"127.78.2.100:70000"' }),
+  'i-port-next': entry({ Address: '"127.78.2.100:65536"' }),
+  'i-port-huge': entry({ Address: '"127.78.2.100:99999999999999999999"' }),
+  'i-port-zero': entry({ Address: '"127.78.2.100:0"' }),
+  'i-ip': entry({ Address: '"127.78.2.300:7107"' }),
+  'i-address-long': entry({ Address: `"${'1'.repeat(70_000)}.0.0.1:7107"` }),
+  'i-nested-known': entry({ Service: nested('{"a":', '}') }),
+  'i-nested-arrays': Buffer.from(nested('[', ']')),
+  'i-nested-objects': Buffer.from(nested('{"a":', '}')),
+  'i-null': Buffer.from('null'),
+  'i-text': Buffer.from('"text"'),
+  'i-bytes': Buffer.from([0xff, 0xfe, 0x80, 0x00]),
+  '': entry({}),
+  'i-\r\nX-Odd: 1': entry({}),
+  'i-\u2603': entry({})
+}
+
 describe('a gateway process', () => {
+  // Guards against requests that are refused, and processes that end, because one entry names a server that no request can be sent to.
+  test('serves every request beside entries of servers that no request can be sent to', async () => {
+    const model = { 'X-Model': 'm', 'X-Token-Counts': '500,900', 'X-Length-Hint': '500' }
+    const statuses: Array<number | null> = []
+    for (const [id, bytes] of Object.entries(oddEntries)) {
+      for (const stage of ['', 'prefill', 'decode']) {
+        const text = bytes.toString('latin1')
+        fleet.store.putBytes(serverKey(id), stage === '' ? bytes : Buffer.from(text.replace('"plain"', '"model"').replace(/\}$/, `,"Stage":"${stage}"}`), 'latin1'))
+        await delay(APPLY_MS / 2)
+        const [path, headers] = stage === '' ? ['/checks/x', {}] : ['/streams/x', model]
+        statuses.push(...await Promise.all(Array.from({ length: 20 }, () => get(fleet.callers(instance), path, headers))))
+        fleet.store.remove(serverKey(id))
+      }
+    }
+    expect({ statuses: [...new Set(statuses)], exitCode: instance.process.exitCode }).toEqual({ statuses: [200], exitCode: null })
+  }, 60_000)
+
   // Guards against a process that ends when a peer asks for its snapshot, because an entry names a member of the prototype of objects as its stage.
   test.each(['constructor', 'toString', '__proto__'])('goes on beside an entry with the stage "%s"', async (stage) => {
     fleet.store.putBytes(serverKey('i-odd'), entry({ Stage: JSON.stringify(stage) }))
