--- a/test/platform/http-backend-client.test.ts
+++ b/test/platform/http-backend-client.test.ts
@@ -76,4 +76,10 @@
     expect(await backendClient.readRunnerState(runner)).toBeNull()
     expect(await backendClient.sendOrder({ backend: runner, role: RunnerRole.Prefill, holder: 'a', fencingToken: 1, expectedOrdersAccepted: 0 })).toBe('unknown')
   })
+
+  // Guards against a request that is refused because its prefill runner names a handle that can't be sent to the decode runner.
+  test.each(['', 'h1\r\nX-Odd: 1', 'h \u2603', 'h'.repeat(100_000)])('reports a prefill response with an unusable handle as malformed', (handle) => {
+    const body = Buffer.from(JSON.stringify({ Handle: handle, Tokens: 1, Version: 1 }))
+    expect(backendClient.parsePrefillResponse(backend(), body)).toBeNull()
+  })
 })
