--- a/test/platform/store-entries.test.ts
+++ b/test/platform/store-entries.test.ts
@@ -71,6 +71,15 @@
     expect(JSON.stringify(change).length).toBeLessThan(1000)
   })
 
+  // Guards against a server that draws all requests to itself, or none, because of the number of slots in its entry.
+  test.each([
+    ['Slots', '1e999'], ['Slots', '1e308'], ['Slots', '1e21'], ['Slots', '-1'], ['Slots', '0'], ['Slots', '0.5'],
+    ['born', '1e999'], ['born', '1e308'], ['born', '-1'], ['born', '0.5'], ['born', 'null']
+  ])('reports an entry whose field %s is %s as unreadable', (name, number) => {
+    const text = JSON.stringify({ ...runner, [name]: 0.25 }).replace('0.25', number)
+    expect(decodeItem(item('servers/i-1', text))).toMatchObject({ kind: 'unreadable', backendId: 'i-1' })
+  })
+
   test('ignores a key that the gateway does not use, and decodes the entry of an instance', () => {
     expect(decodeItem(item('op/other', {}))).toBeNull()
     expect(decodeItem(item('daisybarrow/instances/10.0.0.1', ''))).toEqual({ kind: 'instance', ip: '10.0.0.1' })
