Read the items of the store beside one that can't be read

Seen in a test with a real store client over a real socket: one item without a revision or without a key, with a revision or value of another type, or one that is null or a text, made the client reject every listing and every watch call that held it. The instance would treat the store as lost and follow it no longer.

Cause: one schema checked a response as a whole.

Change: items are checked one by one.

--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,9 +1,11 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { once } from 'node:events'
+import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { StoreWatcher } from '../../src/gateway/store-watcher.js'
 import { StoreChangeKind } from '../../src/gateway/platform-store.js'
-import { configurationKey, platformConfiguration } from '../../src/standin/platform-entries.js'
+import { configurationKey, platformConfiguration, platformServer } from '../../src/standin/platform-entries.js'
+import { RunnerStage } from '../../src/standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../../src/standin/platform-store-standin.js'
 import { StoreClient } from '../../platform/store-client.js'
 import { recordingLog } from '../gateway/gateway-fixtures.js'
@@ -110,3 +112,39 @@
     expect(Math.max(...lags) * 150).toBeLessThan(APPLY_MS)
   }, 20_000)
 })
+
+describe('StoreClient', () => {
+  /** A server whose every response holds the given items, as a listing and as the events of a watch. */
+  async function storeWith (items: unknown[]): Promise<StoreClient> {
+    const server = createServer((request, response) => {
+      request.resume()
+      response.end(JSON.stringify({ items, events: items, HasMore: false, At: 40 }))
+    })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    cleanups.push(() => {
+      server.closeAllConnections()
+      server.close()
+    })
+    return new StoreClient({ address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+  }
+
+  // Guards against an instance that follows the store no longer, because one odd item makes it reject every listing or every watch call.
+  test.each([
+    ['without a revision', { Key: 'servers/i-odd', Value: '' }, 'servers/i-odd'],
+    ['with a revision of the wrong type', { Key: 'servers/i-odd', Value: '', Revision: '7' }, 'servers/i-odd'],
+    ['with a revision that is no whole number', { Key: 'servers/i-odd', Value: '', Revision: 0.5 }, 'servers/i-odd'],
+    ['with a revision too large', { Key: 'servers/i-odd', Value: '', Revision: 1e308 }, 'servers/i-odd'],
+    ['with a value of the wrong type', { Key: 'servers/i-odd', Value: null, Revision: 7 }, 'servers/i-odd'],
+    ['with a value that is not base64', { Key: 'servers/i-odd', Value: '%%%', Revision: 7 }, 'servers/i-odd'],
+    ['without a key', { Value: '', Revision: 7 }, ''],
+    ['that is null', null, ''],
+    ['that is a text', 'odd', '']
+  ])('reads the items beside one %s', async (_name, odd, key) => {
+    const value = Buffer.from(JSON.stringify(platformServer({ service: 'plain', address: '10.0.0.9:80', stage: RunnerStage.Plain }))).toString('base64')
+    const client = await storeWith([odd, { Key: 'servers/i-1', Value: value, Revision: 8 }, { Key: 'servers/i-2', Revision: 9, Deleted: true }])
+    for (const result of [await client.list(), await client.watch(3, 1000)]) {
+      expect(result).toMatchObject({ revision: 40, changes: [{ kind: StoreChangeKind.Unreadable, key }, { kind: StoreChangeKind.Backend, backend: { id: 'i-1' } }, { kind: StoreChangeKind.BackendRemoved, id: 'i-2' }] })
+    }
+  })
+})
