Stop an instance only after it has sent the responses that are complete

Seen by callers of a real process, 2.7 s after its SIGTERM: a response of 7 MB, accepted before, was cut after 4.3 MB because the caller read slowly; a request whose body ended after new requests are refused got no answer, but a closed connection.

Cause: the process counted what it forwards, not what it has sent. A response counts as finished once it is in Node's buffer, and an upload counts only when it is complete. server.close() closes idle connections, and Node takes a connection for idle whose last response has been ended but still waits in its buffer; the process exited 50 ms later.

Change: the listener knows the requests whose responses have not been handed to the operating system, and closes only connections without one. The process exits when nothing is forwarded and nothing is unsent, at the latest 0.4 s before the end of the grace period, as before. Connections that become idle meanwhile are closed, so that they don't prolong the stop.

Now the whole body, and 503 with Connection: close.

--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -39,13 +39,19 @@
 
 const MS_PER_SECOND = 1000
 
+/** The listener for requests of callers. */
+type CallerListener = Server & {
+  /** Number of requests whose responses have not been handed to the operating system completely. */
+  readonly unsentResponses: number
+}
+
 interface RunOptions {
   gateway: Gateway
   settings: GatewaySettings
   settingsFile: string
   store: PlatformStore
   exchanges: HttpExchangeClient
-  callers: Server
+  callers: CallerListener
   applyLimits: (limits: CallerLimits) => void
   readiness: Server
   directory: Server
@@ -147,7 +153,11 @@
   gateway.refuseNewRequests()
   options.callers.close()
   const exitMs = startedMs + settings.graceS * MS_PER_SECOND - EXIT_MARGIN_MS
-  while (gateway.inFlight > 0 && performance.now() < exitMs) await delay(FLUSH_DELAY_MS)
+  while (gateway.inFlight + options.callers.unsentResponses > 0 && performance.now() < exitMs) {
+    // Connections whose last response was sent only now are idle too.
+    options.callers.closeIdleConnections()
+    await delay(FLUSH_DELAY_MS)
+  }
   await delay(FLUSH_DELAY_MS)
   storeWatcher.stop()
   log.info('instance.stopped', { inFlight: gateway.inFlight })
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -17,6 +17,8 @@
   net: string
   instances: number
   ledger: SoakLedger
+  /** Time from SIGTERM to SIGKILL in the settings of the instances, in seconds. */
+  graceS?: number
 }
 
 export interface SoakInstance {
@@ -123,7 +125,7 @@
       },
       storeAddress: `${ip}:${PORTS.store}`,
       seeds: [this.#ip(10)],
-      graceS: 8,
+      graceS: this.#options.graceS ?? 8,
       repeats: { ratio: 0.2, slack: 60, windowS: 10 }
     }))
     const child = spawn(process.execPath, ['target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
--- /dev/null
+++ b/test/programs/planned-stop.test.ts
@@ -0,0 +1,140 @@
+import { afterAll, afterEach, beforeEach, describe, expect, test } from '@jest/globals'
+import { once } from 'node:events'
+import { mkdtempSync, rmSync } from 'node:fs'
+import { Agent, type ClientRequest, createServer, type IncomingMessage, request, type ServerResponse } from 'node:http'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { SoakFleet, type SoakInstance } from '../../src/soak/soak-fleet.js'
+import { SoakLedger } from '../../src/soak/soak-ledger.js'
+import { configurationKey, platformConfiguration, platformServer, serverKey } from '../../src/standin/platform-entries.js'
+import { RunnerStage } from '../../src/standin/platform-runner-standin.js'
+
+const NET = '78.3'
+const GRACE_S = 6
+const ROUTE_TIMEOUT_MS = 14_000
+const BIG_BYTES = 7 * 1024 * 1024
+
+const folder = mkdtempSync(join(tmpdir(), 'planned-stop-'))
+let agent: Agent
+let fleet: SoakFleet
+let instance: SoakInstance
+let stoppedMs: number
+
+/** Ways of a server to answer, by the last part of the path. */
+const answers: Record<string, (response: ServerResponse) => void> = {
+  quick: (response) => response.end('ok'),
+  big: (response) => response.end(Buffer.alloc(BIG_BYTES))
+}
+
+const server = createServer((incoming, response) => {
+  incoming.resume()
+  incoming.on('end', () => {
+    response.setHeader('X-Request-Id', String(incoming.headers['x-request-id']))
+    response.setHeader('X-Response-Signature', 's')
+    answers[String(incoming.url).split('/').at(-1) ?? '']?.(response)
+  })
+})
+
+beforeEach(async () => {
+  agent = new Agent({ keepAlive: true })
+  fleet = new SoakFleet({ folder, net: NET, instances: 1, ledger: new SoakLedger(), graceS: GRACE_S })
+  await fleet.start()
+  const ip = `127.${NET}.200`
+  server.listen(7107, ip)
+  await once(server, 'listening')
+  const [first] = fleet.instances
+  if (first === undefined) throw new Error('the fleet is empty')
+  instance = first
+  for (const { id, service } of fleet.runners) if (service === 'plain') fleet.store.remove(serverKey(id))
+  fleet.store.put(serverKey('i-own'), platformServer({ service: 'plain', address: `${ip}:7107`, stage: RunnerStage.Plain }))
+  const configuration = platformConfiguration({ version: 100, addedPaths: [] }) as { Routes: object[] }
+  fleet.store.put(configurationKey, { ...configuration, Routes: configuration.Routes.map((route) => ({ ...route, TimeoutMs: ROUTE_TIMEOUT_MS })) })
+  const startedMs = performance.now()
+  while (performance.now() - startedMs < 10_000 && (await end(send('/checks/quick'))).status !== 200) await delay(50)
+}, 20_000)
+
+afterEach(async () => {
+  agent.destroy()
+  await fleet.stop()
+  server.closeAllConnections()
+  await new Promise((resolve) => server.close(resolve))
+})
+
+afterAll(() => rmSync(folder, { recursive: true, force: true }))
+
+const delay = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms))
+
+/** Sends SIGTERM; later times are counted from it. */
+function stop (): void {
+  stoppedMs = performance.now()
+  instance.process.kill('SIGTERM')
+}
+
+async function untilAfterStop (ms: number): Promise<void> {
+  await delay(stoppedMs + ms - performance.now())
+}
+
+function open (path: string, headers: Record<string, string> = {}): ClientRequest {
+  return request(`http://${fleet.callers(instance)}${path}`, { agent, method: path.startsWith('/checks') ? 'GET' : 'POST', headers: { Host: 'soak.example', 'X-Request-Id': `q${Math.random()}`, 'X-Deadline-Ms': String(ROUTE_TIMEOUT_MS), ...headers } })
+}
+
+function send (path: string): ClientRequest {
+  return open(path).end()
+}
+
+interface CallEnd {
+  /** Null if the connection was closed before the head of a response. */
+  status: number | null
+  headers: IncomingMessage['headers']
+  bytes: number
+  whole: boolean
+}
+
+/** What the caller sees of the response; the body is read from `readAfterMs` milliseconds after the head on. */
+function end (call: ClientRequest, readAfterMs = 0): Promise<CallEnd> {
+  return new Promise((resolve) => {
+    call.on('error', () => resolve({ status: null, headers: {}, bytes: 0, whole: false }))
+    call.on('response', (response) => {
+      let bytes = 0
+      const settle = (): void => resolve({ status: response.statusCode ?? null, headers: response.headers, bytes, whole: response.complete })
+      response.on('error', settle)
+      response.on('close', settle)
+      setTimeout(() => response.on('data', (chunk: Buffer) => { bytes += chunk.length }), readAfterMs)
+    })
+  })
+}
+
+describe('a gateway process that is stopped', () => {
+  // Guards against long responses to slow readers that are cut because the process counts them as sent once they are in its buffer.
+  test('sends a response to its end although the caller still reads it when new requests are refused', async () => {
+    stop()
+    await untilAfterStop(1500)
+    const { status, bytes, whole } = await end(send('/checks/big'), 2000)
+    expect({ status, bytes, whole }).toEqual({ status: 200, bytes: BIG_BYTES, whole: true })
+  }, 20_000)
+
+  // Guards against connections that are closed without an answer because the process exits while the request is uploaded.
+  test('answers a request whose body ends after new requests are refused', async () => {
+    stop()
+    await untilAfterStop(2000)
+    const call = open('/orders/quick', { 'Content-Length': '10' })
+    const ended = end(call)
+    call.write('12345')
+    await untilAfterStop(3300)
+    call.end('67890')
+    const { status, headers } = await ended
+    expect({ status, connection: headers.connection }).toEqual({ status: 503, connection: 'close' })
+  }, 20_000)
+
+  // Guards against a stop that lasts for the whole grace period because callers keep their connections open.
+  test('exits soon after it refuses new requests if nothing runs, also after a second SIGTERM and a SIGHUP', async () => {
+    stop()
+    await untilAfterStop(500)
+    instance.process.kill('SIGTERM')
+    instance.process.kill('SIGHUP')
+    const [code] = await once(instance.process, 'exit') as [number | null]
+    expect(code).toBe(0)
+    expect(performance.now() - stoppedMs).toBeGreaterThan(2600)
+    expect(performance.now() - stoppedMs).toBeLessThan(3300)
+  }, 20_000)
+})
