Answer the requests that still run when a stopping process exits

Seen by the caller of a real process: an order accepted before SIGTERM whose server had not answered yet ended with a closed connection and no answer when the process exited. A caller can't tell this from a request that was never read, and may send it once more.

Cause: at the end of the grace period the process exited with whatever was in flight.

Change: 0.4 s before the end of the grace period, each pending request is ended as at its timeout: 502 if a server may have run it, 503 with a short Retry-After if none has got it, and a broken stream if its head was sent. The process then has 0.25 s to send these answers. instance.stopped still counts the requests that did not end in time.

A unit test holds that a request that waits for a placement gets 503 and one that a server has got gets 502.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -15,6 +15,9 @@
 /** Lowest HTTP status that is not a success. */
 export const FIRST_UNSUCCESSFUL_STATUS = 300
 
+/** Retry delay given to callers when this instance can't serve a request but another one may, in milliseconds. */
+export const RETRY_ELSEWHERE_MS = 50
+
 /** Dependencies for forwarding requests, shared by all of them. */
 export interface ForwardingContext {
   backends: BackendTable
@@ -140,7 +143,10 @@
   pending.refuse(GatewayRefusal.RateLimited, retryAfterMs)
 }
 
-/** Refuses a request that has timed out. If `sending` is true, a server has not responded completely yet and may have run the request. */
+/** Refuses a request that has timed out, or that runs when the process is about to exit. If `sending` is true, a server has not responded completely yet and may have run the request. */
 export function refuseAtTimeout (pending: PendingRequest, sending: boolean): void {
-  pending.refuse(pending.mayHaveRun || sending ? GatewayRefusal.TimedOut : GatewayRefusal.TimedOutBeforeRun)
+  const mayHaveRun = pending.mayHaveRun || sending
+  if (pending.remainingMs() <= 0) pending.refuse(mayHaveRun ? GatewayRefusal.TimedOut : GatewayRefusal.TimedOutBeforeRun)
+  else if (mayHaveRun) pending.refuse(GatewayRefusal.OutcomeUnknown)
+  else pending.refuse(GatewayRefusal.Stopping, RETRY_ELSEWHERE_MS)
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest, Responder } from './caller-request.js'
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
+import { RETRY_ELSEWHERE_MS } from './forwarding.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
 import { InstanceTable, type InstanceStatus } from './instance-table.js'
@@ -34,9 +35,6 @@
 /** Time that a new coordinator waits before it places anything, in milliseconds: the other instances report their runs every 300 ms. */
 const COORDINATOR_WARM_UP_MS = 400
 
-/** Retry delay given to callers when this instance is stopping, has no configuration or finds no service on the route, in milliseconds; another instance may serve them. */
-const RETRY_ELSEWHERE_MS = 50
-
 /** Number of addresses of other instances in each heartbeat, from which the receiver learns of new instances without the store. */
 const ADDRESSES_PER_HEARTBEAT = 4
 
@@ -353,6 +351,11 @@
     this.#refusesNewRequests = true
   }
 
+  /** Ends all requests, because the process is about to exit; the answers say whether a request may have run. */
+  endPendingRequests (): void {
+    for (const pending of [...this.#pendingRequests]) pending.onTimeout()
+  }
+
   dump (): unknown {
     return {
       status: this.status(),
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -51,7 +51,7 @@
 
   /** How the request ended, for its log line; null while it is pending. */
   ending: string | null = null
-  /** Called when the time for the request has run out. */
+  /** Called when the time for the request has run out, or when the process is about to exit. */
   onTimeout: () => void = () => {}
   /** Called once, after all end listeners, when the request has ended. */
   onEnd: (ending: string) => void = () => {}
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -31,9 +31,12 @@
 /** Time after SIGTERM for which new requests are still accepted, in milliseconds: callers use this instance until they query the directory again. */
 const ACCEPT_AFTER_STOP_MS = 2700
 
-/** Margin between the exit of the process and the end of the grace period, when it would be killed, in milliseconds. */
+/** Margin between the time at which the requests that still run are ended and the end of the grace period, when the process would be killed, in milliseconds. */
 const EXIT_MARGIN_MS = 400
 
+/** Part of EXIT_MARGIN_MS that is left for the exit itself, in milliseconds; the rest is for sending the last responses. */
+const KILL_MARGIN_MS = 150
+
 /** Time before the process exits in which the ends of responses are sent, in milliseconds; also the time between checks for requests in flight. */
 const FLUSH_DELAY_MS = 50
 
@@ -152,15 +155,19 @@
   await delay(ACCEPT_AFTER_STOP_MS)
   gateway.refuseNewRequests()
   options.callers.close()
-  const exitMs = startedMs + settings.graceS * MS_PER_SECOND - EXIT_MARGIN_MS
-  while (gateway.inFlight + options.callers.unsentResponses > 0 && performance.now() < exitMs) {
+  const graceEndMs = startedMs + settings.graceS * MS_PER_SECOND
+  const isBusy = (): boolean => gateway.inFlight + options.callers.unsentResponses > 0
+  while (isBusy() && performance.now() < graceEndMs - EXIT_MARGIN_MS) {
     // Connections whose last response was sent only now are idle too.
     options.callers.closeIdleConnections()
     await delay(FLUSH_DELAY_MS)
   }
+  const unfinished = gateway.inFlight
+  gateway.endPendingRequests()
+  while (isBusy() && performance.now() < graceEndMs - KILL_MARGIN_MS) await delay(FLUSH_DELAY_MS)
   await delay(FLUSH_DELAY_MS)
   storeWatcher.stop()
-  log.info('instance.stopped', { inFlight: gateway.inFlight })
+  log.info('instance.stopped', { inFlight: unfinished })
   options.flushLog()
   process.exit(0)
 }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -13,6 +13,7 @@
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
 import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
+import { GatewayRefusal } from '../../src/gateway/refusal.js'
 import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
 /** Time after which an instance no longer waits for the heartbeats of others, in milliseconds. */
@@ -202,6 +203,20 @@
     expect(gateway.backends.all().map(({ id }) => id)).toEqual(['b6'])
   })
 
+  // Guards against answers at the exit of the process that say of a request that has run that it has not, or the reverse.
+  test('refuses the pending requests before the exit of the process as not run only if no server has got them', async () => {
+    const { gateway } = servingInstance()
+    // The coordinator has just begun, so it places nothing yet.
+    gateway.tick()
+    const [sent, waiting] = [new RecordingResponder(), new RecordingResponder()]
+    gateway.serve(callerRequest({ path: '/order/x', arrivedMs: LISTENING_MS }), sent)
+    gateway.serve(callerRequest({ id: 'q2', path: '/stream/x', arrivedMs: LISTENING_MS, generationParameters: { promptTokens: 500, maxOutputTokens: 900, estimatedOutputTokens: null, promptId: null, sharedParts: [] } }), waiting)
+    await flushEventLoop()
+    gateway.endPendingRequests()
+    expect([sent.refusal, waiting.refusal, waiting.retryAfterMs]).toEqual([GatewayRefusal.OutcomeUnknown, GatewayRefusal.Stopping, 50])
+    expect(gateway.inFlight).toBe(0)
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
--- a/test/programs/planned-stop.test.ts
+++ b/test/programs/planned-stop.test.ts
@@ -23,7 +23,8 @@
 /** Ways of a server to answer, by the last part of the path. */
 const answers: Record<string, (response: ServerResponse) => void> = {
   quick: (response) => response.end('ok'),
-  big: (response) => response.end(Buffer.alloc(BIG_BYTES))
+  big: (response) => response.end(Buffer.alloc(BIG_BYTES)),
+  never: () => {}
 }
 
 const server = createServer((incoming, response) => {
@@ -113,6 +114,16 @@
     expect({ status, bytes, whole }).toEqual({ status: 200, bytes: BIG_BYTES, whole: true })
   }, 20_000)
 
+  // Guards against accepted requests that get no answer because they still run at the end of the grace period.
+  test('answers the requests that still run when it exits', async () => {
+    const calls = [send('/orders/never'), send('/checks/never')].map((call) => end(call))
+    await delay(100)
+    stop()
+    const statuses = (await Promise.all(calls)).map(({ status }) => status)
+    expect(statuses).toEqual([502, 502])
+    expect(performance.now() - stoppedMs).toBeLessThan(GRACE_S * 1000)
+  }, 20_000)
+
   // Guards against connections that are closed without an answer because the process exits while the request is uploaded.
   test('answers a request whose body ends after new requests are refused', async () => {
     stop()
