Compare positions of the store by era before revision

After the store had returned from a copy, its revisions were lower, so the instance ignored servers for as long as the store needed to get there again.

Change: StorePosition is the era (header Store-Era) and the revision, compared in this order. The stand-in of the store names its era and can return from a copy.

The other changed expectations of existing tests only name the era.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,6 +25,7 @@
 import { applySettings } from './settings-reload.js'
 import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
 import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
+import { comparePositions, type StorePosition } from './store-position.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
 import { LimitSharing } from './limit-sharing.js'
 import { ReportExchange } from './report-exchange.js'
@@ -74,9 +75,9 @@
   readonly #coordinatedServices = new Set<string>()
   #configuration: Configuration | null = null
   #routes: RouteTable | null = null
-  #storeRevision = 0
-  /** Highest store revision whose servers were taken from a peer's snapshot. */
-  #snapshotRevision = 0
+  #storePosition: StorePosition = { era: 0, revision: 0 }
+  /** Newest position of the store whose servers were taken from a peer's snapshot. */
+  #snapshotPosition: StorePosition = { era: 0, revision: 0 }
   #reachesStore = false
   readonly #configurationLag: ConfigurationLag
   readonly #startedMs: number
@@ -174,8 +175,9 @@
     return this.#configurationLag.behindMs()
   }
 
-  get storeRevision (): number {
-    return this.#storeRevision
+  /** Newest position of the store that has been applied. */
+  get storePosition (): StorePosition {
+    return this.#storePosition
   }
 
   /** Activates a configuration if its version is newer than that of the active one; `from` is 'store' or the IP address of a peer. */
@@ -192,16 +194,16 @@
     const backends: BackendServer[] = []
     for (const change of listing.changes) {
       if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
-      else this.applyChange(change, listing.revision)
+      else this.applyChange(change, listing)
     }
-    this.#storeRevision = Math.max(this.#storeRevision, listing.revision)
+    this.#advancePosition(listing)
     this.#hasListing = true
-    if (!this.#isSuperseded(listing.revision)) this.backends.replaceAll(backends)
+    if (!this.#isSuperseded(listing)) this.backends.replaceAll(backends)
   }
 
-  applyChange (change: StoreChange, revision: number): void {
-    if (describesServer(change) && this.#isSuperseded(revision)) return
-    this.#storeRevision = Math.max(this.#storeRevision, revision)
+  applyChange (change: StoreChange, position: StorePosition): void {
+    if (describesServer(change) && this.#isSuperseded(position)) return
+    this.#advancePosition(position)
     const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange) => void
     handler(this, change)
   }
@@ -225,15 +227,16 @@
     if (backendId !== null) this.backends.discard(backendId)
   }
 
-  /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its store revision is newer. */
-  applyPeerSnapshot (from: string, { revision, configuration, backends, missing = [] }: PeerSnapshot): void {
+  /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its position of the store is newer. */
+  applyPeerSnapshot (from: string, { era = 0, revision, configuration, backends, missing = [] }: PeerSnapshot): void {
     if (configuration !== null) this.applyConfiguration(configuration, from)
-    if (revision <= this.#storeRevision) return
-    this.#storeRevision = revision
-    this.#snapshotRevision = revision
+    const position = { era, revision }
+    if (comparePositions(position, this.#storePosition) <= 0) return
+    this.#advancePosition(position)
+    this.#snapshotPosition = position
     this.#hasListing = true
     this.backends.replaceBySnapshot(backends, missing)
-    this.#options.log.info('snapshot.taken', { from, revision, servers: backends.length, missing: missing.length })
+    this.#options.log.info('snapshot.taken', { from, era, revision, servers: backends.length, missing: missing.length })
   }
 
   /** Records whether the store can be reached. */
@@ -242,11 +245,11 @@
     this.backends.startReregistrationGrace()
   }
 
-  /** A random live peer that has a newer configuration or, while this instance can't reach the store, one that can reach it and has a newer store revision. Undefined if there is no such peer. */
+  /** A random live peer that has a newer configuration or, while this instance can't reach the store, one that can reach it and has a newer position of the store. Undefined if there is no such peer. */
   peerWithNewerState (): InstanceStatus | undefined {
     const ownVersion = this.#configuration?.version ?? -Infinity
     const newer = this.instances.live().filter((peer) => peer.configurationVersion > ownVersion ||
-      (!this.#reachesStore && peer.reachesStore && peer.storeRevision > this.#storeRevision))
+      (!this.#reachesStore && peer.reachesStore && comparePositions({ era: peer.storeEra ?? 0, revision: peer.storeRevision }, this.#storePosition) > 0))
     return newer[Math.floor(this.#options.random() * newer.length)]
   }
 
@@ -258,7 +261,8 @@
       callers: settings.listeners.callers,
       ready: this.ready,
       configurationVersion: this.#configuration?.version ?? -1,
-      storeRevision: this.#storeRevision,
+      storeEra: this.#storePosition.era,
+      storeRevision: this.#storePosition.revision,
       reachesStore: this.#reachesStore,
       processorShare: settings.processor.share * settings.processor.speed
     }
@@ -327,7 +331,7 @@
         sentTo: [...pending.sentTo].join(',') || 'none',
         ...pending.logFields,
         configuration: this.#routes?.version ?? -1,
-        storeRevision: this.#storeRevision
+        storeRevision: this.#storePosition.revision
       })
     }
     this.#forwardingContext.retryBudget.recordRequest(service)
@@ -398,9 +402,13 @@
     }
   }
 
+  #advancePosition ({ era, revision }: StorePosition): void {
+    if (comparePositions({ era, revision }, this.#storePosition) > 0) this.#storePosition = { era, revision }
+  }
+
   /** Whether a response of the store is older than the servers in a peer's snapshot: a slow response may arrive after the snapshot. */
-  #isSuperseded (revision: number): boolean {
-    return revision < this.#snapshotRevision
+  #isSuperseded (position: StorePosition): boolean {
+    return comparePositions(position, this.#snapshotPosition) < 0
   }
 
   #trackConfigurationLag (): void {
@@ -416,7 +424,7 @@
   }
 
   #onBackendChange ({ kind, backend, source }: BackendChange): void {
-    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, source, revision: this.#storeRevision })
+    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, source, era: this.#storePosition.era, revision: this.#storePosition.revision })
     if (kind === 'removed' || kind === 'restarted') this.#scheduler.removeRunner(backend)
     const all = this.backends.all()
     const incarnations = new Set(all.map(incarnationOf))
--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -37,7 +37,8 @@
   /** Whether it accepts requests. */
   ready: boolean
   configurationVersion: number
-  /** Newest store revision that it has applied. */
+  /** Era and revision of the newest position of the store that it has applied; instances of older versions send no era. */
+  storeEra?: number | undefined
   storeRevision: number
   /** Whether it can reach the store at present. */
   reachesStore: boolean
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -38,6 +38,7 @@
   callers: z.string(),
   ready: z.boolean(),
   configurationVersion: z.number(),
+  storeEra: z.number().optional(),
   storeRevision: z.number(),
   reachesStore: z.boolean(),
   processorShare: z.number()
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -5,6 +5,7 @@
 import type { BackendTable, MissingServer } from './backend-table.js'
 import type { Configuration } from './configuration.js'
 import { sendControlRequest, type Transfer } from './control-request.js'
+import { comparePositions, type StorePosition } from './store-position.js'
 
 export const SNAPSHOT_PATH = '/snapshot'
 
@@ -30,6 +31,8 @@
 
 /** The store's state as one instance has applied it, for a peer with an older state. */
 export interface PeerSnapshot {
+  /** Era of the store that the revision belongs to; peers of older versions send none. */
+  era?: number
   revision: number
   configuration: Configuration | null
   /** The servers whose entries exist. */
@@ -40,7 +43,7 @@
 
 /** The state of an instance that its snapshots contain. */
 export interface SnapshotSource {
-  storeRevision: number
+  storePosition: StorePosition
   configuration: Configuration | null
   backends: Pick<BackendTable, 'present' | 'missing' | 'changeCount'>
 }
@@ -48,7 +51,7 @@
 /** Encodes the snapshots of one instance. An encoding is reused until the state changes, since many peers may fetch it at once. */
 export class SnapshotEncoder {
   readonly #source: SnapshotSource
-  #encoded: { revision: number, configuration: Configuration | null, changeCount: number, expiresMs: number, plain: Buffer, compressed: Buffer } | null = null
+  #encoded: { position: StorePosition, configuration: Configuration | null, changeCount: number, expiresMs: number, plain: Buffer, compressed: Buffer } | null = null
 
   constructor (options: { source: SnapshotSource }) {
     this.#source = options.source
@@ -63,15 +66,15 @@
   }
 
   #current (): { plain: Buffer, compressed: Buffer } {
-    const { storeRevision: revision, configuration, backends } = this.#source
+    const { storePosition: position, configuration, backends } = this.#source
     const { changeCount } = backends
     const last = this.#encoded
-    if (last !== null && last.revision === revision && last.configuration === configuration && last.changeCount === changeCount && performance.now() < last.expiresMs) return last
+    if (last !== null && comparePositions(last.position, position) === 0 && last.configuration === configuration && last.changeCount === changeCount && performance.now() < last.expiresMs) return last
     const missing = backends.missing()
-    const snapshot: PeerSnapshot = { revision, configuration, backends: backends.present(), missing }
+    const snapshot: PeerSnapshot = { ...position, configuration, backends: backends.present(), missing }
     const plain = encode(snapshot)
     const expiresMs = missing.length === 0 ? Infinity : performance.now() + MAX_AGE_ERROR_MS
-    this.#encoded = { revision, configuration, changeCount, expiresMs, plain, compressed: gzipSync(plain, { level: COMPRESSION_LEVEL }) }
+    this.#encoded = { position, configuration, changeCount, expiresMs, plain, compressed: gzipSync(plain, { level: COMPRESSION_LEVEL }) }
     return this.#encoded
   }
 }
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from './configuration.js'
 import type { Transfer } from './control-request.js'
 import type { OrderRecord } from './order-token-issuer.js'
+import type { StorePosition } from './store-position.js'
 
 export enum StoreChangeKind {
   Configuration = 'configuration',
@@ -25,9 +26,8 @@
   | { kind: StoreChangeKind.OrderRecord, service: string, record: OrderRecord }
   | { kind: StoreChangeKind.Unreadable, key: string, detail: string, backendId: string | null }
 
-/** The result of a listing or a watch call: entries or changes, and the store revision that they reach. */
-export interface StoreListing {
-  revision: number
+/** The result of a listing or a watch call: entries or changes, and the position of the store that they reach. */
+export interface StoreListing extends StorePosition {
   changes: StoreChange[]
   /** Size and timing of the response; of the last page if there were several. */
   transfer?: Transfer
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -76,7 +76,7 @@
     random: options.random,
     nowMs: () => performance.now(),
     onListing: (listing) => gateway.applyListing(listing),
-    onChange: (change, revision) => gateway.applyChange(change, revision),
+    onChange: (change, position) => gateway.applyChange(change, position),
     onReachability: (reached) => gateway.recordStoreReachability(reached)
   })
   listen(options.callers, listeners.callers)
@@ -135,7 +135,7 @@
     fetching = true
     fetchSnapshot(peer.ip, options.settings.listeners.peerPort)
       .then(({ snapshot, transfer }) => {
-        log.info('snapshot.received', { from: peer.ip, revision: snapshot.revision, bytes: transfer.bytes, headMs: Math.round(transfer.headMs), totalMs: Math.round(transfer.totalMs) })
+        log.info('snapshot.received', { from: peer.ip, era: snapshot.era ?? 0, revision: snapshot.revision, bytes: transfer.bytes, headMs: Math.round(transfer.headMs), totalMs: Math.round(transfer.totalMs) })
         gateway.applyPeerSnapshot(peer.ip, snapshot)
       })
       .catch((error: unknown) => log.warn('snapshot.failed', { from: peer.ip, detail: String(error) }))
--- a/src/gateway/store-watcher.ts
+++ b/src/gateway/store-watcher.ts
@@ -1,4 +1,5 @@
 import type { Log } from '../logs/log.js'
+import type { StorePosition } from './store-position.js'
 import { isStoreError, type PlatformStore, type StoreChange, StoreChangeKind, type StoreError, StoreErrorKind, type StoreListing } from './platform-store.js'
 
 /** Time that one watch call waits for changes, in milliseconds: a silent connection must be noticed well within the time in which a new configuration must take effect. */
@@ -27,8 +28,8 @@
   nowMs: () => number
   /** Called with every complete listing. */
   onListing: (listing: StoreListing) => void
-  /** Called with each change, and with the store revision of the watch call that returned it. */
-  onChange: (change: StoreChange, revision: number) => void
+  /** Called with each change, and with the position of the store that the watch call reached. */
+  onChange: (change: StoreChange, position: StorePosition) => void
   /** Called with true when the store becomes reachable, and with false after each call that could not reach it. */
   onReachability: (reached: boolean) => void
 }
@@ -36,7 +37,7 @@
 /** Watches the platform's store: reads one listing, then its changes. A store error never removes entries that were read before. */
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions
-  #revision = 0
+  #position: StorePosition = { era: 0, revision: 0 }
   /** Whether the next call lists the entries instead of watching for changes. */
   #listsNext = true
   /** When the store last answered a call, in milliseconds. */
@@ -54,10 +55,6 @@
     this.#options = options
   }
 
-  get revision (): number {
-    return this.#revision
-  }
-
   get reached (): boolean {
     return this.#reached === true
   }
@@ -87,7 +84,7 @@
       const listing = await store.list()
       if (isStoreError(listing)) return listing
       this.#listsNext = false
-      this.#revision = listing.revision
+      this.#position = { era: listing.era, revision: listing.revision }
       this.#logTransfer('list', listing)
       this.#options.onListing(listing)
       // The entry of this instance outlives a restart. It is not written again, because each write wakes the watches of all other instances.
@@ -99,14 +96,14 @@
       if (error !== null) return error
       this.#announced = true
     }
-    const result = await store.watch(this.#revision, WATCH_WAIT_MS)
+    const result = await store.watch(this.#position.revision, WATCH_WAIT_MS)
     if (this.#stopped) return null
     if (isStoreError(result)) return result
-    this.#revision = result.revision
+    this.#position = { era: result.era, revision: result.revision }
     // More than one version means that changes arrive faster than they are transferred: a listing skips the versions in between.
     this.#listsNext = countConfigurations(result) > 1
     this.#logTransfer('watch', result)
-    for (const change of result.changes) this.#handleChange(change, result.revision)
+    for (const change of result.changes) this.#handleChange(change)
     if (result.changes.length > 0) await new Promise((resolve) => setTimeout(resolve, CHANGE_BATCH_MS))
     return null
   }
@@ -117,8 +114,8 @@
     this.#options.log.info('store.transfer', { call, revision, configurations: countConfigurations(listing), bytes: transfer.bytes, headMs: Math.round(transfer.headMs), totalMs: Math.round(transfer.totalMs) })
   }
 
-  #handleChange (change: StoreChange, revision: number): void {
-    this.#options.onChange(change, revision)
+  #handleChange (change: StoreChange): void {
+    this.#options.onChange(change, this.#position)
     if (change.kind === StoreChangeKind.InstanceRemoved && change.ip === this.#options.ip) this.#announced = false
   }
 
@@ -127,20 +124,20 @@
     this.#answeredMs = this.#options.nowMs()
     if (this.#reached === true) return
     this.#reached = true
-    this.#options.log.info('store.reached', { revision: this.revision })
+    this.#options.log.info('store.reached', { ...this.#position })
     this.#options.onReachability(true)
   }
 
   async #handleFailure (error: StoreError): Promise<void> {
     if (error.kind === StoreErrorKind.HistoryLost) {
-      this.#options.log.info('store.history-lost', { revision: this.revision, detail: error.detail })
+      this.#options.log.info('store.history-lost', { ...this.#position, detail: error.detail })
       this.#listsNext = true
       return
     }
     if (this.#options.nowMs() - this.#answeredMs > MAX_REPLAY_MS) this.#listsNext = true
     if (this.#reached !== false) {
       this.#reached = false
-      this.#options.log.warn('store.lost', { revision: this.revision, detail: error.detail })
+      this.#options.log.warn('store.lost', { ...this.#position, detail: error.detail })
     }
     this.#options.onReachability(false)
     const pauseMs = this.#backoffMs * (0.5 + this.#options.random())
--- a/src/standin/platform-store-standin.ts
+++ b/src/standin/platform-store-standin.ts
@@ -1,5 +1,5 @@
 import type { Server } from 'node:http'
-import { createJsonServer, type JsonCall, StatusError } from './json-server.js'
+import { createJsonServer, type JsonCall, type JsonHandlers, StatusError } from './json-server.js'
 
 interface Item {
   Key: string
@@ -15,22 +15,50 @@
   Remove: string[]
 }
 
+/** The state of the store at one moment. */
+export interface StoreCopy {
+  items: Item[]
+  revision: number
+}
+
 const PAGE_ITEMS = 500
 
-/** Takes the place of the platform's store in tests: items with revisions, conditional writes and watches; no leases, which the gateway does not use. */
+/** Takes the place of the platform's store in tests: items with revisions, conditional writes, watches and the return from a copy; no leases, which the gateway does not use. */
 export class PlatformStoreStandIn {
   readonly server: Server
   readonly #items = new Map<string, Item>()
   readonly #changes: Change[] = []
   readonly #waiting = new Set<() => void>()
   #revision = 1
+  #era = 1
 
   constructor () {
-    this.server = createJsonServer({
+    const handlers: JsonHandlers = {
       'GET /v1/kv-range': (call) => this.#range(call),
       'GET /v1/kv-watch': (call) => this.#watch(call),
       'POST /v1/kv-txn': ({ body }) => this.#transaction(body as unknown as Transaction)
-    })
+    }
+    this.server = createJsonServer(Object.fromEntries(Object.entries(handlers).map(([name, handler]) => [name, async (call: JsonCall) => {
+      try {
+        return await handler(call)
+      } finally {
+        call.response.setHeader('store-era', this.#era)
+      }
+    }])))
+  }
+
+  /** A copy of the store's state, for `restore`. */
+  copy (): StoreCopy {
+    return { items: [...this.#items.values()], revision: this.#revision }
+  }
+
+  /** Returns to the state of a copy: its revisions are given out again, and the era rises. Waiting watches stay open. */
+  restore ({ items, revision }: StoreCopy): void {
+    this.#items.clear()
+    for (const item of items) this.#items.set(item.Key, item)
+    this.#changes.splice(0, Infinity, ...this.#changes.filter((change) => change.Revision <= revision))
+    this.#revision = revision
+    this.#era += 1
   }
 
   /** Writes an item as an operator or a backend server does. */
@@ -71,6 +99,7 @@
   async #watch ({ query }: JsonCall): Promise<unknown> {
     const prefix = query.get('PathPrefix') ?? ''
     const after = Number(query.get('after'))
+    if (after > this.#revision) throw new StatusError(410, 'no such revision')
     const since = (): Change[] => this.#changes.filter((change) => change.Revision > after && change.Key.startsWith(prefix))
     if (since().length === 0) await this.#nextChange(Number(query.get('WaitMs')))
     return { events: since(), At: this.#revision }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -9,7 +9,7 @@
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { type GatewaySettings, gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
-import { decodeDatagram, encodeDatagram, type PeerDatagram } from '../../src/gateway/peer-datagram.js'
+import { decodeDatagram, encodeDatagram, type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
 import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
@@ -63,7 +63,7 @@
       route({ name: 'stream', pathPrefix: '/stream/', kind: RouteKind.Streaming, attempts: 1, services: [{ service: 'model', weight: 1 }] })
     ]
   }), 'store')
-  fixture.gateway.applyListing({ revision: 12, changes: [] })
+  fixture.gateway.applyListing({ era: 1, revision: 12, changes: [] })
   fixture.gateway.backends.put(backend())
   fixture.gateway.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }))
   fixture.clock.ms = LISTENING_MS
@@ -96,7 +96,7 @@
     const { gateway } = servingInstance()
     if (!reached) gateway.recordStoreReachability(false)
     const [server] = gateway.backends.all()
-    gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: `servers/${server?.id}`, detail: 'no JSON', backendId: server?.id ?? '' }, 13)
+    gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: `servers/${server?.id}`, detail: 'no JSON', backendId: server?.id ?? '' }, { era: 1, revision: 13 })
     expect(gateway.backends.get(server?.id ?? '')).toBeUndefined()
   })
 
@@ -121,7 +121,7 @@
   test('is ready once it has a configuration and a listing and has waited for the heartbeats of others, until it stops', () => {
     const { gateway, clock } = createInstance()
     gateway.applyConfiguration(configuration(), 'store')
-    gateway.applyListing({ revision: 1, changes: [] })
+    gateway.applyListing({ era: 1, revision: 1, changes: [] })
     expect(gateway.ready).toBe(false)
     clock.ms = LISTENING_MS
     expect(gateway.ready).toBe(true)
@@ -131,10 +131,10 @@
 
   test('applies the newer configuration of a peer, and its servers only if its store revision is newer', () => {
     const { gateway } = servingInstance()
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 11, configuration: configuration({ version: 9 }), backends: [] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 11, configuration: configuration({ version: 9 }), backends: [] })
     expect(gateway.configuration?.version).toBe(9)
     expect(gateway.backends.all()).toHaveLength(2)
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 13, configuration: null, backends: [backend({ id: 'b9' })] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 13, configuration: null, backends: [backend({ id: 'b9' })] })
     expect(gateway.backends.get('b9')).toBeDefined()
   })
 
@@ -170,7 +170,7 @@
     const server = backend()
     if (removed) gateway.backends.remove(server.id)
     peer.recordStoreReachability(false)
-    peer.applyListing({ revision: 14, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) }] })
+    peer.applyListing({ era: 1, revision: 14, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) }] })
     const listener = createPeerListener(peer)
     listener.listen(0, '127.0.0.1')
     await once(listener, 'listening')
@@ -185,21 +185,21 @@
     const { gateway } = servingInstance()
     const ready = backend({ id: 'b5' })
     const leaving = backend({ id: 'b5', state: ServerState.Leaving })
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [leaving] })
-    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: ready }, 18)
-    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, 19)
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 20, configuration: null, backends: [leaving] })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: ready }, { era: 1, revision: 18 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, { era: 1, revision: 19 })
     expect(gateway.backends.get('b5')?.state).toBe(ServerState.Leaving)
-    gateway.applyListing({ revision: 19, changes: [{ kind: StoreChangeKind.Backend, backend: ready }, { kind: StoreChangeKind.Configuration, configuration: configuration({ version: 8 }) }] })
+    gateway.applyListing({ era: 1, revision: 19, changes: [{ kind: StoreChangeKind.Backend, backend: ready }, { kind: StoreChangeKind.Configuration, configuration: configuration({ version: 8 }) }] })
     expect([gateway.backends.get('b5')?.state, gateway.configuration?.version]).toEqual([ServerState.Leaving, 8])
-    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, 21)
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, { era: 1, revision: 21 })
     expect(gateway.backends.get('b5')).toBeUndefined()
   })
 
   // Guards against requests to a server that has gone: the listing that no longer had it was ignored after a peer's snapshot.
   test('applies a listing of the same revision as the snapshot of a peer', () => {
     const { gateway } = servingInstance()
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
-    gateway.applyListing({ revision: 20, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6' }) }] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 20, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
+    gateway.applyListing({ era: 1, revision: 20, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6' }) }] })
     expect(gateway.backends.all().map(({ id }) => id)).toEqual(['b6'])
   })
 
@@ -217,6 +217,48 @@
     expect(gateway.inFlight).toBe(0)
   })
 
+  // Guards against requests to servers that have left: after the store had returned from a copy, its listings and changes were ignored until it reached the revision of a peer's snapshot again.
+  test('applies the servers of a store that has returned from a copy with lower revisions', () => {
+    const { gateway } = servingInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 57, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
+    gateway.applyListing({ era: 2, revision: 30, changes: ['b5', 'b6', 'b7'].map((id) => ({ kind: StoreChangeKind.Backend, backend: backend({ id }) })) })
+    expect(gateway.backends.get('b7')).toBeDefined()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6', state: ServerState.Leaving }) }, { era: 2, revision: 31 })
+    expect(gateway.backends.get('b6')?.state).toBe(ServerState.Leaving)
+    expect(gateway.status()).toMatchObject({ storeEra: 2, storeRevision: 31 })
+  })
+
+  // Guards against requests to servers that have left: the snapshot of a peer that still had the revisions of a lost history replaced a newer table.
+  test('takes the servers of a peer from a newer era whatever its revision, and none from an older era', () => {
+    const { gateway } = servingInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 5, configuration: null, backends: [backend({ id: 'b5' })] })
+    gateway.applyPeerSnapshot('10.0.0.3', { era: 1, revision: 57, configuration: null, backends: [backend({ id: 'b6' })] })
+    gateway.applyPeerSnapshot('10.0.0.4', { revision: 58, configuration: null, backends: [backend({ id: 'b7' })] })
+    expect(gateway.backends.present().map(({ id }) => id)).toEqual(['b5'])
+  })
+
+  // Guards against an instance without the store that asks the peers that are stuck in the lost history for a snapshot, and never those that follow the store.
+  test('asks a peer in a newer era for its state, and none in an older era with a higher revision', () => {
+    const { gateway } = servingInstance()
+    gateway.applyListing({ era: 2, revision: 30, changes: [] })
+    gateway.recordStoreReachability(false)
+    const peer = { ...gateway.status(), reachesStore: true }
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.2', storeEra: 1, storeRevision: 57 })
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.3', storeEra: undefined, storeRevision: 58 })
+    expect(gateway.peerWithNewerState()).toBeUndefined()
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.4', storeEra: 3, storeRevision: 4 })
+    expect(gateway.peerWithNewerState()?.ip).toBe('10.0.0.4')
+  })
+
+  // Guards against statuses that lose the era on the way, or that beside instances of older versions are dropped for lack of it.
+  test.each([2, undefined])('sends and receives a heartbeat whose era is %s', (storeEra) => {
+    const { gateway, sent } = servingInstance()
+    gateway.sendHeartbeat(['10.0.0.2'])
+    const heartbeat = sent.find(({ kind }) => kind === PeerDatagramKind.Heartbeat) as Extract<PeerDatagram, { kind: PeerDatagramKind.Heartbeat }>
+    const status = JSON.parse(JSON.stringify({ ...heartbeat.status, storeEra })) as typeof heartbeat.status
+    expect(decodeDatagram(encodeDatagram({ ...heartbeat, status }))).toEqual({ ...heartbeat, status })
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
--- a/test/gateway/peer-snapshot.test.ts
+++ b/test/gateway/peer-snapshot.test.ts
@@ -6,6 +6,7 @@
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
 import type { Configuration } from '../../src/gateway/configuration.js'
+import type { StorePosition } from '../../src/gateway/store-position.js'
 import { ThrottledLink } from '../platform/throttled-link.js'
 import { backend, configuration, route } from './gateway-fixtures.js'
 
@@ -22,10 +23,10 @@
   return configuration({ version, routes: Array.from({ length: 1250 }, (_, index) => route({ name: `r-${(index * 7919).toString(36)}`, pathPrefix: `/${(index * 104729).toString(36)}/` })) })
 }
 
-async function serveSnapshots (current: () => Configuration): Promise<number> {
+async function serveSnapshots (current: () => Configuration, storePosition: () => StorePosition = () => ({ era: 1, revision: 12 })): Promise<number> {
   let backends = [backend()]
   const listener = createPeerListener({
-    get storeRevision () { return 12 },
+    get storePosition () { return storePosition() },
     get configuration () { return current() },
     backends: { present: () => backends, missing: () => [], get changeCount () { return backends.length } }
   })
@@ -65,6 +66,19 @@
     expect(versions).toEqual([1, 1, 2])
   })
 
+  // Guards against a cached snapshot of the lost history that is sent as that of a store that has returned from a copy and reached the same revision again.
+  test('receives a new snapshot when the store reaches the same revision in a newer era', async () => {
+    const only = configuration()
+    let era = 1
+    const port = await serveSnapshots(() => only, () => ({ era, revision: 12 }))
+    const eras: Array<number | undefined> = []
+    for (const next of [1, 2]) {
+      era = next
+      eras.push((await fetchSnapshot('127.0.0.1', port)).snapshot.era)
+    }
+    expect(eras).toEqual([1, 2])
+  })
+
   test('is uncompressed for instances of older versions, which ask for no encoding', async () => {
     const port = await serveSnapshots(() => configuration({ version: 4 }))
     const bytes = await new Promise<Buffer>((resolve, reject) => {
--- a/test/gateway/store-watcher.test.ts
+++ b/test/gateway/store-watcher.test.ts
@@ -15,7 +15,7 @@
   let finish = (): void => {}
   const allConsumed = new Promise<void>((resolve) => { finish = resolve })
   const store: PlatformStore = {
-    list: () => Promise.resolve({ revision: revision++, changes: listed }),
+    list: () => Promise.resolve({ era: 1, revision: revision++, changes: listed }),
     watch: (after) => {
       events.push(`watch after ${after}`)
       const result = watches.shift()
@@ -38,7 +38,7 @@
     random: () => 0,
     nowMs: () => clock.ms,
     onListing: (listing) => events.push(`listing ${listing.revision}`),
-    onChange: (change: StoreChange, storeRevision) => events.push(`${change.kind} ${storeRevision}`),
+    onChange: (change: StoreChange, { revision: reached }) => events.push(`${change.kind} ${reached}`),
     onReachability: (reached) => events.push(reached ? 'reached' : 'lost')
   })
   watcher.run().catch((error: unknown) => events.push(String(error)))
@@ -48,7 +48,7 @@
 
 describe('StoreWatcher', () => {
   test('watches from the revision of the listing on', async () => {
-    const { events, announced } = await watchStore([{ revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
+    const { events, announced } = await watchStore([{ era: 1, revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
     expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'backend-removed 12', 'watch after 12'])
     expect(announced).toBe(1)
   })
@@ -65,7 +65,7 @@
 
   test('reads a new listing when one response holds several versions of the configuration', async () => {
     const change: StoreChange = { kind: StoreChangeKind.Configuration, configuration: configuration() }
-    const { events } = await watchStore([{ revision: 12, changes: [change, change] }])
+    const { events } = await watchStore([{ era: 1, revision: 12, changes: [change, change] }])
     expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'configuration 12', 'configuration 12', 'listing 11', 'watch after 11'])
   })
 
@@ -75,19 +75,19 @@
   })
 
   test('writes its entry again when it was removed', async () => {
-    const { announced } = await watchStore([{ revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
+    const { announced } = await watchStore([{ era: 1, revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
     expect(announced).toBe(2)
   })
 
   test('logs size and time of large responses, and how many configurations they hold', async () => {
     const change: StoreChange = { kind: StoreChangeKind.Configuration, configuration: configuration() }
     const transfer = { bytes: 700_000, headMs: 3.4, totalMs: 611.2 }
-    const { lines } = await watchStore([{ revision: 12, changes: [change, change], transfer }, { revision: 13, changes: [change], transfer: { ...transfer, bytes: 2000 } }])
-    expect(lines).toEqual(['store.reached revision=10', 'store.transfer call=watch revision=12 configurations=2 bytes=700000 headMs=3 totalMs=611'])
+    const { lines } = await watchStore([{ era: 1, revision: 12, changes: [change, change], transfer }, { era: 1, revision: 13, changes: [change], transfer: { ...transfer, bytes: 2000 } }])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.transfer call=watch revision=12 configurations=2 bytes=700000 headMs=3 totalMs=611'])
   })
 
   test('logs one line when the store is lost and one when it is reached again', async () => {
-    const { lines } = await watchStore([unreachable, unreachable, { revision: 12, changes: [] }])
-    expect(lines).toEqual(['store.reached revision=10', 'store.lost revision=10 detail=down', 'store.reached revision=12'])
+    const { lines } = await watchStore([unreachable, unreachable, { era: 1, revision: 12, changes: [] }])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.lost era=1 revision=10 detail=down', 'store.reached era=1 revision=12'])
   })
 })
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -102,7 +102,7 @@
     random: () => 0
   })
   gateway.applyConfiguration(gatewayConfiguration(1), 'store')
-  gateway.applyListing({ revision: 1, changes: [] })
+  gateway.applyListing({ era: 1, revision: 1, changes: [] })
   gateway.backends.put(backend({ address }))
   gateway.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode, address }))
   const ticks = setInterval(() => gateway.tick(), 20)
