List the store again when a call is answered in another era

An instance could miss what was written after the store had returned from a copy: a watch that waits meanwhile is answered in the new era, and if the revisions have grown past the watched one again, the instance went on from there without the changes before it. It also kept entries of the lost history, and did not notice that its own entry was gone, from which new instances learn its address.

Cause: only status 410 led to a new listing; the era was read nowhere.

Change: a watch that is answered in a newer era is not applied and the entries are listed, and so they are after a failed call that was answered in a newer era. The listing decides whether the own entry is written again. The first listing of the new era logs store.era-changed with both positions. Eras only rise, so an answer of an older era (the header is absent or malformed) counts as unreachable, which store.lost logs.

Evidence: on the code before, backend-removed of revision 99 in era 2 was applied as a continuation of revision 10 in era 1; no change of era was logged; after a failed call in era 2 the watch went on after 10; an answer of era 0 was applied after era 1; and with 8 entries written after the return the own entry was missing 2 s later. That a store with fewer revisions than before (410) has the own entry written again held before too.

--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -45,6 +45,8 @@
 export interface StoreError {
   kind: StoreErrorKind
   detail: string
+  /** Era of the answer; undefined if there was none. */
+  era?: number
 }
 
 /** The platform's store as the gateway uses it. */
--- a/src/gateway/store-watcher.ts
+++ b/src/gateway/store-watcher.ts
@@ -34,9 +34,10 @@
   onReachability: (reached: boolean) => void
 }
 
-/** Watches the platform's store: reads one listing, then its changes. A store error never removes entries that were read before. */
+/** Watches the platform's store: reads one listing, then its changes. When the store returns from a copy, its entries are listed again. A store error never removes entries that were read before. */
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions
+  /** Position of the store that the last listing or watch call reached; era and revision are 0 before the first listing. */
   #position: StorePosition = { era: 0, revision: 0 }
   /** Whether the next call lists the entries instead of watching for changes. */
   #listsNext = true
@@ -83,7 +84,9 @@
     if (this.#listsNext) {
       const listing = await store.list()
       if (isStoreError(listing)) return listing
+      if (listing.era < this.#position.era) return this.#olderEraError(listing)
       this.#listsNext = false
+      this.#logEraChange(listing)
       this.#position = { era: listing.era, revision: listing.revision }
       this.#logTransfer('list', listing)
       this.#options.onListing(listing)
@@ -99,6 +102,12 @@
     const result = await store.watch(this.#position.revision, WATCH_WAIT_MS)
     if (this.#stopped) return null
     if (isStoreError(result)) return result
+    if (result.era < this.#position.era) return this.#olderEraError(result)
+    if (result.era > this.#position.era) {
+      // Its revisions do not continue those of the known era, even if they have grown past them again.
+      this.#listsNext = true
+      return null
+    }
     this.#position = { era: result.era, revision: result.revision }
     // More than one version means that changes arrive faster than they are transferred: a listing skips the versions in between.
     this.#listsNext = countConfigurations(result) > 1
@@ -108,6 +117,16 @@
     return null
   }
 
+  /** An answer of an older era than a previous one names no era, or a malformed one: eras only rise. */
+  #olderEraError ({ era }: StorePosition): StoreError {
+    return { kind: StoreErrorKind.Unreachable, detail: `answer of era ${era} after era ${this.#position.era}` }
+  }
+
+  #logEraChange ({ era, revision }: StorePosition): void {
+    const { era: eraBefore, revision: revisionBefore } = this.#position
+    if (era > eraBefore && revisionBefore > 0) this.#options.log.warn('store.era-changed', { era, revision, eraBefore, revisionBefore })
+  }
+
   #logTransfer (call: 'list' | 'watch', listing: StoreListing): void {
     const { revision, transfer } = listing
     if (transfer === undefined || transfer.bytes < LOGGED_TRANSFER_BYTES) return
@@ -134,7 +153,7 @@
       this.#listsNext = true
       return
     }
-    if (this.#options.nowMs() - this.#answeredMs > MAX_REPLAY_MS) this.#listsNext = true
+    if (this.#options.nowMs() - this.#answeredMs > MAX_REPLAY_MS || (error.era ?? 0) > this.#position.era) this.#listsNext = true
     if (this.#reached !== false) {
       this.#reached = false
       this.#options.log.warn('store.lost', { ...this.#position, detail: error.detail })
--- a/src/standin/platform-store-standin.ts
+++ b/src/standin/platform-store-standin.ts
@@ -71,6 +71,10 @@
     this.#write(key, bytes.toString('base64'))
   }
 
+  has (key: string): boolean {
+    return this.#items.has(key)
+  }
+
   remove (key: string): void {
     if (!this.#items.delete(key)) return
     this.#revision += 1
--- a/test/gateway/store-watcher.test.ts
+++ b/test/gateway/store-watcher.test.ts
@@ -6,8 +6,8 @@
 const unreachable: StoreError = { kind: StoreErrorKind.Unreachable, detail: 'down' }
 const historyLost: StoreError = { kind: StoreErrorKind.HistoryLost, detail: 'compacted' }
 
-/** Runs a watcher on a store whose watch calls return the scripted results in turn; resolves when all of them have been used. */
-async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], announcements = [], watchMs = 0 }: { listed?: StoreChange[], announcements?: Array<StoreError | null>, watchMs?: number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
+/** Runs a watcher on a store whose watch calls return the scripted results in turn, and whose listings are of the scripted eras, or else of era 1; resolves when all of them have been used. */
+async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], eras = [], announcements = [], watchMs = 0 }: { listed?: StoreChange[], eras?: number[], announcements?: Array<StoreError | null>, watchMs?: number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
   const events: string[] = []
   let announced = 0
   let revision = 10
@@ -15,7 +15,7 @@
   let finish = (): void => {}
   const allConsumed = new Promise<void>((resolve) => { finish = resolve })
   const store: PlatformStore = {
-    list: () => Promise.resolve({ era: 1, revision: revision++, changes: listed }),
+    list: () => Promise.resolve({ era: eras.shift() ?? 1, revision: revision++, changes: listed }),
     watch: (after) => {
       events.push(`watch after ${after}`)
       const result = watches.shift()
@@ -86,6 +86,31 @@
     expect(lines).toEqual(['store.reached era=1 revision=10', 'store.transfer call=watch revision=12 configurations=2 bytes=700000 headMs=3 totalMs=611'])
   })
 
+  // Guards against entries of a lost history that stay in force: a watch that waited while the store returned from a copy went on in the new era, without the changes before its revision.
+  test('reads a new listing when a watch call is answered in another era, also if its revisions have grown past the known one', async () => {
+    const { events, lines } = await watchStore([{ era: 2, revision: 99, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }], { eras: [1, 2] })
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'listing 11', 'watch after 11'])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.era-changed era=2 revision=11 eraBefore=1 revisionBefore=10'])
+  })
+
+  test('logs a change of the era once when the history is lost with it', async () => {
+    const { lines } = await watchStore([{ ...historyLost, era: 2 }, { ...historyLost, era: 2 }], { eras: [1, 2, 2] })
+    expect(lines.filter((line) => line.startsWith('store.era-changed'))).toEqual(['store.era-changed era=2 revision=11 eraBefore=1 revisionBefore=10'])
+  })
+
+  // Guards against a watch that goes on from a revision of a lost history after a short outage.
+  test('reads a new listing when a failed call is answered in another era', async () => {
+    const { events } = await watchStore([{ ...unreachable, era: 2 }], { eras: [1, 2] })
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'lost', 'listing 11', 'reached', 'watch after 11'])
+  })
+
+  // Guards against changes that are applied as those of a lost history because their answer names no era, or a malformed one.
+  test('applies no answer of an older era', async () => {
+    const { events, lines } = await watchStore([{ era: 0, revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'lost', 'watch after 10'])
+    expect(lines.at(-1)).toBe('store.lost era=1 revision=10 detail=answer of era 0 after era 1')
+  })
+
   test('logs one line when the store is lost and one when it is reached again', async () => {
     const { lines } = await watchStore([unreachable, unreachable, { era: 1, revision: 12, changes: [] }])
     expect(lines).toEqual(['store.reached era=1 revision=10', 'store.lost era=1 revision=10 detail=down', 'store.reached era=1 revision=12'])
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -71,6 +71,25 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
+describe('StoreClient and StoreWatcher of a store that returns from a copy', () => {
+  // Guards against an instance that new ones never learn of, and against changes that it never learns of, after the store has lost what it acknowledged.
+  test.each([
+    ['has fewer revisions than before', 0],
+    ['has given out its revisions again', 8]
+  ])('write the entry of the instance again and read what the operator writes, when the store %s', async (_name, rewrites) => {
+    const { store, newest, write } = await watchOverSlowLink()
+    const copy = store.copy()
+    while (newest() < 1 || !store.has('daisybarrow/instances/10.0.0.1')) await delay(20)
+    write(2, 1)
+    while (newest() < 2) await delay(20)
+    store.restore(copy)
+    for (let index = 0; index < rewrites; index += 1) store.put(`servers/other${index}`, {})
+    write(3, 1)
+    await delay(APPLY_MS)
+    expect([newest(), store.has('daisybarrow/instances/10.0.0.1')]).toEqual([3, true])
+  })
+})
+
 describe('StoreClient and StoreWatcher behind a slow link', () => {
   // Guards against an instance that never catches up after an outage, because the changes that it missed outgrow the timeout of a watch call.
   test('have the newest configuration soon after an outage during which many were written', async () => {
