Reject a listing whose pages are of different eras

A listing of several pages during which the store returns from a copy mixed entries of the lost history with those of the copy, at the lowest revision of both.

Cause: the pages were joined without regard to their era.

--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -51,7 +51,7 @@
 
 /** The platform's store as the gateway uses it. */
 export interface PlatformStore {
-  /** All entries, and the revision to watch from; later changes that the listing already contains are repeated by watch(). */
+  /** All entries of one era, and the revision to watch from; later changes that the listing already contains are repeated by watch(). */
   list: () => Promise<StoreListing | StoreError>
   /** The changes after a revision; waits up to `waitMs` milliseconds for the first ones. */
   watch: (afterRevision: number, waitMs: number) => Promise<StoreListing | StoreError>
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -3,7 +3,8 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { StoreWatcher } from '../../src/gateway/store-watcher.js'
-import { StoreChangeKind } from '../../src/gateway/platform-store.js'
+import { StoreChangeKind, StoreErrorKind } from '../../src/gateway/platform-store.js'
+import { createJsonServer, listen } from '../../src/standin/json-server.js'
 import { configurationKey, platformConfiguration, platformServer } from '../../src/standin/platform-entries.js'
 import { RunnerStage } from '../../src/standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../../src/standin/platform-store-standin.js'
@@ -90,6 +91,28 @@
   })
 })
 
+describe('StoreClient', () => {
+  // Guards against a listing whose first entries are of a lost history and whose others are not.
+  test('returns no listing whose pages are of different eras', async () => {
+    let calls = 0
+    const server = createJsonServer({
+      'GET /v1/kv-range': ({ query, response }) => {
+        calls += 1
+        const isFirstPage = query.get('after') === null
+        response.setHeader('store-era', calls === 1 ? 7 : 8)
+        return { items: [{ Key: `daisybarrow/instances/${isFirstPage ? '10.0.0.1' : '10.0.0.2'}`, Value: '', Revision: 1 }], HasMore: isFirstPage, At: calls === 1 ? 60 : 30 }
+      }
+    })
+    cleanups.push(() => {
+      server.closeAllConnections()
+      server.close()
+    })
+    const client = new StoreClient({ address: `127.0.0.1:${await listen(server, '127.0.0.1', 0)}` })
+    expect(await client.list()).toEqual({ kind: StoreErrorKind.Unreachable, detail: 'era 8 after a page of era 7', era: 8 })
+    expect(await client.list()).toMatchObject({ era: 8, revision: 30, changes: [{ ip: '10.0.0.1' }, { ip: '10.0.0.2' }] })
+  })
+})
+
 describe('StoreClient and StoreWatcher behind a slow link', () => {
   // Guards against an instance that never catches up after an outage, because the changes that it missed outgrow the timeout of a watch call.
   test('have the newest configuration soon after an outage during which many were written', async () => {
