Keep servers that the first state of a new era lacks for the grace

Servers that it lacks are missing, and are used and removed as around an outage. The first state after the start of an instance is no change of the era.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -68,6 +68,8 @@
   changeCount = 0
   /** Time until which a missing entry may be caused by an outage of the store, in milliseconds. */
   #graceUntilMs = -Infinity
+  /** When the store was first seen in its present era, in milliseconds. */
+  #eraStartedMs = -Infinity
 
   constructor (options: BackendTableOptions) {
     this.#options = { drainMs: () => DEFAULT_DRAIN_MS, ...options }
@@ -78,6 +80,12 @@
     this.#graceUntilMs = this.#options.nowMs() + REREGISTRATION_GRACE_MS
   }
 
+  /** Called before the servers of a new era of the store are applied: a server that registered after the copy was made is not among them and registers again. */
+  startEra (): void {
+    this.#eraStartedMs = this.#options.nowMs()
+    this.startReregistrationGrace()
+  }
+
   /** Applies a complete list of the servers and removes those that are not in it. */
   replaceAll (backends: BackendServer[]): void {
     const listed = new Set(backends.map(({ id }) => id))
@@ -85,13 +93,18 @@
     for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, ServerSource.Listing)
   }
 
-  /** Applies the snapshot of a peer. What the peer does not list is gone; what it misses is not known to be back. */
+  /** Applies the snapshot of a peer. What the peer does not list is gone, or missing if the era is new; what it misses is not known to be back. */
   replaceBySnapshot (present: BackendServer[], missing: MissingServer[]): void {
     const nowMs = this.#options.nowMs()
     const known = new Set([...present, ...missing].map(({ id }) => id))
     for (const backend of present) this.put(backend, ServerSource.Snapshot)
     for (const { id, ageMs } of missing) this.#markMissing(id, nowMs - ageMs, ServerSource.Snapshot)
-    for (const [id, { backend }] of this.#entries) if (!known.has(id)) this.#delete(backend, ServerSource.Snapshot)
+    const isNewEra = nowMs - this.#eraStartedMs < REREGISTRATION_GRACE_MS
+    for (const [id, { backend }] of this.#entries) {
+      if (known.has(id)) continue
+      if (isNewEra) this.#markMissing(id, nowMs, ServerSource.Snapshot)
+      else this.#delete(backend, ServerSource.Snapshot)
+    }
   }
 
   put (backend: BackendServer, source = ServerSource.Watch): void {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -191,6 +191,7 @@
   }
 
   applyListing (listing: StoreListing): void {
+    this.#followEra(listing)
     const backends: BackendServer[] = []
     for (const change of listing.changes) {
       if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
@@ -232,6 +233,7 @@
     if (configuration !== null) this.applyConfiguration(configuration, from)
     const position = { era, revision }
     if (comparePositions(position, this.#storePosition) <= 0) return
+    this.#followEra(position)
     this.#advancePosition(position)
     this.#snapshotPosition = position
     this.#hasListing = true
@@ -402,6 +404,11 @@
     }
   }
 
+  /** Prepares for the first state of a new era, which is older than the state known so far. */
+  #followEra ({ era }: StorePosition): void {
+    if (this.#hasListing && era > this.#storePosition.era) this.backends.startEra()
+  }
+
   #advancePosition ({ era, revision }: StorePosition): void {
     if (comparePositions({ era, revision }, this.#storePosition) > 0) this.#storePosition = { era, revision }
   }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
 import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
-import { Staleness } from '../../src/gateway/backend-table.js'
+import { REREGISTRATION_GRACE_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
@@ -259,6 +259,21 @@
     expect(decodeDatagram(encodeDatagram({ ...heartbeat, status }))).toEqual({ ...heartbeat, status })
   })
 
+  // Guards against refusals: a server that had registered after the copy of the store was made was dropped by the first listing of the new era.
+  test.each([
+    ['listing', (gateway: Gateway) => gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })],
+    ['snapshot of a peer', (gateway: Gateway) => gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })]
+  ])('keeps a server that the first %s of a new era lacks until its time to register again has passed', (_name, apply) => {
+    const { gateway, clock } = servingInstance()
+    const later = backend({ id: 'b2' })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: later }, { era: 1, revision: 13 })
+    apply(gateway)
+    expect([gateway.backends.staleness(later), gateway.backends.accepts(later)]).toEqual([Staleness.Missing, true])
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    expect(gateway.backends.get('b2')).toBeUndefined()
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
