Take leaving as final for an incarnation of a server

Requests could reach a server that the instance knew to be leaving: the copy from which the store returned still listed it as ready.

Cause: the state of the newest entry held, whatever was known before.

Evidence: on the code before, all three tests found the server ready and offered for new requests; now it is leaving, and its next incarnation is used.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -107,9 +107,10 @@
     }
   }
 
-  put (backend: BackendServer, source = ServerSource.Watch): void {
+  put (listed: BackendServer, source = ServerSource.Watch): void {
     this.changeCount += 1
-    const previous = this.#entries.get(backend.id)
+    const previous = this.#entries.get(listed.id)
+    const backend = this.#withFinalState(listed)
     this.#entries.set(backend.id, { backend, missingSinceMs: null })
     if (previous === undefined) return this.#notify('added', backend, source)
     if (incarnationOf(previous.backend) !== incarnationOf(backend)) return this.#notify('restarted', backend, source)
@@ -117,6 +118,13 @@
     if (previous.backend.state === ServerState.Ready && backend.state === ServerState.Leaving) this.#notify('leaving', backend, source)
   }
 
+  /** Leaving is final for an incarnation: an entry that says otherwise is older, for instance from the copy that the store has returned from. */
+  #withFinalState (backend: BackendServer): BackendServer {
+    const known = this.#entries.get(backend.id)?.backend
+    const isLeaving = known?.state === ServerState.Leaving && incarnationOf(known) === incarnationOf(backend)
+    return isLeaving ? { ...backend, state: ServerState.Leaving } : backend
+  }
+
   /** Removes a server whose entry was deleted. Around an outage of the store, a ready server is kept until expire() removes it. */
   remove (id: string, source = ServerSource.Watch): void {
     const entry = this.#entries.get(id)
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -274,6 +274,20 @@
     expect(gateway.backends.get('b2')).toBeUndefined()
   })
 
+  // Guards against requests to a leaving server: the copy that the store returned from still listed it as ready.
+  test.each([
+    ['listing', (gateway: Gateway) => gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })],
+    ['change', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })],
+    ['snapshot of a peer', (gateway: Gateway) => gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })]
+  ])('keeps a server leaving that a %s of a new era has as ready, until it restarts', (_name, apply) => {
+    const { gateway } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ state: ServerState.Leaving }) }, { era: 1, revision: 13 })
+    apply(gateway)
+    expect([gateway.backends.get('b1')?.state, gateway.backends.ready('plain')]).toEqual([ServerState.Leaving, []])
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ startedAtMs: 2 }) }, { era: 2, revision: 11 })
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
