Confirm servers that had gone before a new era lists them

Requests could reach a server that had left without a word, or whose entry had been removed: the copy from which the store returned still listed it as ready, until its removal was written again.

Cause: a removed server was forgotten, so its entry in the copy was that of a new server.

Around an outage it stays unconfirmed, since its removal would go unnoticed. A server that was already missing is treated the same, and one that had said that it leaves stays leaving.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -1,8 +1,12 @@
 import { type BackendServer, ServerState, incarnationOf, RunnerRole } from './backend.js'
+import { type DepartedServer, DepartedServers } from './departed-servers.js'
 
 /** Time that servers whose entries disappeared around an outage of the store have to register again, in milliseconds; the platform promises that they do within about two seconds. */
 export const REREGISTRATION_GRACE_MS = 2000
 
+/** Time after the start of an era for which the listing of a server that had gone before does not make it usable, in milliseconds: the platform removes the entry of a dead server after three check-in intervals of silence, of 1.2 s each. */
+export const RESTORED_ENTRY_DOUBT_MS = 5000
+
 /** Time for which a server still takes requests after it has said that it leaves, unless stated, in milliseconds. */
 const DEFAULT_DRAIN_MS = 2000
 
@@ -47,7 +51,7 @@
 }
 
 export interface BackendChange {
-  kind: 'added' | 'changed-role' | 'leaving' | 'missing' | 'removed' | 'restarted'
+  kind: 'added' | 'changed-role' | 'leaving' | 'missing' | 'removed' | 'restarted' | 'unconfirmed'
   backend: BackendServer
   source: ServerSource
 }
@@ -63,6 +67,9 @@
 /** The backend servers and whether they may get new requests. */
 export class BackendTable {
   readonly #entries = new Map<string, BackendEntry>()
+  readonly #departed: DepartedServers
+  /** Servers that the copy of the store lists although they had gone before; they are not used until they write their entries or RESTORED_ENTRY_DOUBT_MS has passed. */
+  readonly #unconfirmed = new Map<string, BackendServer>()
   readonly #options: BackendTableOptions & Required<Pick<BackendTableOptions, 'drainMs'>>
   /** Number of changes so far; the same number means the same servers. */
   changeCount = 0
@@ -73,6 +80,7 @@
 
   constructor (options: BackendTableOptions) {
     this.#options = { drainMs: () => DEFAULT_DRAIN_MS, ...options }
+    this.#departed = new DepartedServers(options)
   }
 
   /** Called when the store can't be reached or has just become reachable: ready servers whose entries disappear within REREGISTRATION_GRACE_MS from now are kept, because they may register again. */
@@ -88,16 +96,16 @@
 
   /** Applies a complete list of the servers and removes those that are not in it. */
   replaceAll (backends: BackendServer[]): void {
-    const listed = new Set(backends.map(({ id }) => id))
-    for (const backend of backends) this.put(backend, ServerSource.Listing)
+    const listed = this.#putConfirmed(backends, ServerSource.Listing)
     for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, ServerSource.Listing)
   }
 
   /** Applies the snapshot of a peer. What the peer does not list is gone, or missing if the era is new; what it misses is not known to be back. */
-  replaceBySnapshot (present: BackendServer[], missing: MissingServer[]): void {
+  replaceBySnapshot (present: BackendServer[], missing: MissingServer[], departed: DepartedServer[] = []): void {
     const nowMs = this.#options.nowMs()
-    const known = new Set([...present, ...missing].map(({ id }) => id))
-    for (const backend of present) this.put(backend, ServerSource.Snapshot)
+    this.#departed.merge(departed)
+    const known = this.#putConfirmed(present, ServerSource.Snapshot)
+    for (const { id } of missing) known.add(id)
     for (const { id, ageMs } of missing) this.#markMissing(id, nowMs - ageMs, ServerSource.Snapshot)
     const isNewEra = nowMs - this.#eraStartedMs < REREGISTRATION_GRACE_MS
     for (const [id, { backend }] of this.#entries) {
@@ -107,10 +115,37 @@
     }
   }
 
+  /** Puts the servers of a listing or snapshot, and returns the ids of all but those that it may only have from the copy of the store. */
+  #putConfirmed (backends: BackendServer[], source: ServerSource): Set<string> {
+    const unconfirmedBefore = new Set(this.#unconfirmed.keys())
+    this.#unconfirmed.clear()
+    const confirmed = new Set<string>()
+    for (const backend of backends) {
+      if (this.#isDoubtful(backend)) {
+        this.#unconfirmed.set(backend.id, backend)
+        if (!unconfirmedBefore.has(backend.id)) this.#notify('unconfirmed', backend, source)
+      } else {
+        confirmed.add(backend.id)
+        this.put(backend, source)
+      }
+    }
+    return confirmed
+  }
+
+  /** Whether the server had gone before the present era and its entry may only be from the copy of the store. */
+  #isDoubtful (backend: BackendServer): boolean {
+    if (this.#options.nowMs() - this.#eraStartedMs >= RESTORED_ENTRY_DOUBT_MS) return false
+    const known = this.#entries.get(backend.id)
+    if (known === undefined) return this.#departed.hadGoneBefore(backend, this.#eraStartedMs)
+    return known.missingSinceMs !== null && known.missingSinceMs < this.#eraStartedMs && backend.startedAtMs <= known.backend.startedAtMs
+  }
+
   put (listed: BackendServer, source = ServerSource.Watch): void {
     this.changeCount += 1
     const previous = this.#entries.get(listed.id)
     const backend = this.#withFinalState(listed)
+    this.#unconfirmed.delete(backend.id)
+    this.#departed.forget(backend.id)
     this.#entries.set(backend.id, { backend, missingSinceMs: null })
     if (previous === undefined) return this.#notify('added', backend, source)
     if (incarnationOf(previous.backend) !== incarnationOf(backend)) return this.#notify('restarted', backend, source)
@@ -121,12 +156,13 @@
   /** Leaving is final for an incarnation: an entry that says otherwise is older, for instance from the copy that the store has returned from. */
   #withFinalState (backend: BackendServer): BackendServer {
     const known = this.#entries.get(backend.id)?.backend
-    const isLeaving = known?.state === ServerState.Leaving && incarnationOf(known) === incarnationOf(backend)
+    const isLeaving = known === undefined ? this.#departed.hadSaidToLeave(backend) : known.state === ServerState.Leaving && incarnationOf(known) === incarnationOf(backend)
     return isLeaving ? { ...backend, state: ServerState.Leaving } : backend
   }
 
   /** Removes a server whose entry was deleted. Around an outage of the store, a ready server is kept until expire() removes it. */
   remove (id: string, source = ServerSource.Watch): void {
+    if (source === ServerSource.Watch) this.#unconfirmed.delete(id)
     const entry = this.#entries.get(id)
     if (entry === undefined) return
     const nowMs = this.#options.nowMs()
@@ -136,6 +172,7 @@
 
   /** Removes a server at once, also around an outage of the store. */
   discard (id: string): void {
+    this.#unconfirmed.delete(id)
     const entry = this.#entries.get(id)
     if (entry !== undefined) this.#delete(entry.backend, ServerSource.Watch)
   }
@@ -151,15 +188,26 @@
   }
 
   #delete (backend: BackendServer, source: ServerSource): void {
+    this.#departed.record(backend, this.#entries.get(backend.id)?.missingSinceMs ?? this.#options.nowMs())
     this.#entries.delete(backend.id)
     this.#notify('removed', backend, source)
   }
 
-  /** Removes the servers that have not registered again in time. A further outage of the store does not prolong that time. */
+  /** Removes the servers that have not registered again in time; a further outage of the store does not prolong that time. Uses the unconfirmed servers whose entries the store still has after RESTORED_ENTRY_DOUBT_MS. */
   expire (): void {
+    this.#departed.expire()
+    this.#acceptUnconfirmed()
     for (const entry of this.#entries.values()) if (this.#missingMs(entry) >= REREGISTRATION_GRACE_MS) this.#delete(entry.backend, ServerSource.Expiry)
   }
 
+  #acceptUnconfirmed (): void {
+    const nowMs = this.#options.nowMs()
+    // Around an outage, this instance would not learn that an entry has been removed.
+    if (nowMs - this.#eraStartedMs < RESTORED_ENTRY_DOUBT_MS || nowMs < this.#graceUntilMs) return
+    for (const backend of [...this.#unconfirmed.values()]) if (!this.#entries.has(backend.id)) this.put(backend, ServerSource.Listing)
+    this.#unconfirmed.clear()
+  }
+
   get (id: string): BackendServer | undefined {
     return this.#entries.get(id)?.backend
   }
@@ -178,6 +226,11 @@
     return [...this.#entries.values()].flatMap(({ backend: { id }, missingSinceMs }) => missingSinceMs === null ? [] : [{ id, ageMs: nowMs - missingSinceMs }])
   }
 
+  /** Servers that have gone within the last minute or so. */
+  departed (): DepartedServer[] {
+    return this.#departed.all()
+  }
+
   /** Servers of a service that may get new requests. */
   ready (service: string, stage: RunnerRole = RunnerRole.None): BackendServer[] {
     const candidates = [...this.#entries.values()].filter(({ backend }) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready)
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -229,7 +229,7 @@
   }
 
   /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its position of the store is newer. */
-  applyPeerSnapshot (from: string, { era = 0, revision, configuration, backends, missing = [] }: PeerSnapshot): void {
+  applyPeerSnapshot (from: string, { era = 0, revision, configuration, backends, missing = [], departed = [] }: PeerSnapshot): void {
     if (configuration !== null) this.applyConfiguration(configuration, from)
     const position = { era, revision }
     if (comparePositions(position, this.#storePosition) <= 0) return
@@ -237,7 +237,7 @@
     this.#advancePosition(position)
     this.#snapshotPosition = position
     this.#hasListing = true
-    this.backends.replaceBySnapshot(backends, missing)
+    this.backends.replaceBySnapshot(backends, missing, departed)
     this.#options.log.info('snapshot.taken', { from, era, revision, servers: backends.length, missing: missing.length })
   }
 
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -4,6 +4,7 @@
 import type { BackendServer } from './backend.js'
 import type { BackendTable, MissingServer } from './backend-table.js'
 import type { Configuration } from './configuration.js'
+import type { DepartedServer } from './departed-servers.js'
 import { sendControlRequest, type Transfer } from './control-request.js'
 import { comparePositions, type StorePosition } from './store-position.js'
 
@@ -24,6 +25,9 @@
 /** Time for which an encoded snapshot with missing servers is reused, in milliseconds: the ages in it become wrong. */
 const MAX_AGE_ERROR_MS = 50
 
+/** Time for which an encoded snapshot with departed servers is reused, in milliseconds; their ages are only compared with the start of an era. */
+const MAX_DEPARTURE_AGE_ERROR_MS = 1000
+
 /** Largest decompressed snapshot, in bytes. */
 const MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
 
@@ -39,13 +43,15 @@
   backends: BackendServer[]
   /** Servers that the instance keeps although their entries have disappeared. Peers of older versions have them among `backends`. */
   missing?: MissingServer[]
+  /** Servers that have gone; peers of older versions send none. */
+  departed?: DepartedServer[]
 }
 
 /** The state of an instance that its snapshots contain. */
 export interface SnapshotSource {
   storePosition: StorePosition
   configuration: Configuration | null
-  backends: Pick<BackendTable, 'present' | 'missing' | 'changeCount'>
+  backends: Pick<BackendTable, 'present' | 'missing' | 'departed' | 'changeCount'>
 }
 
 /** Encodes the snapshots of one instance. An encoding is reused until the state changes, since many peers may fetch it at once. */
@@ -71,9 +77,11 @@
     const last = this.#encoded
     if (last !== null && comparePositions(last.position, position) === 0 && last.configuration === configuration && last.changeCount === changeCount && performance.now() < last.expiresMs) return last
     const missing = backends.missing()
-    const snapshot: PeerSnapshot = { ...position, configuration, backends: backends.present(), missing }
+    const departed = backends.departed()
+    const snapshot: PeerSnapshot = { ...position, configuration, backends: backends.present(), missing, departed }
     const plain = encode(snapshot)
-    const expiresMs = missing.length === 0 ? Infinity : performance.now() + MAX_AGE_ERROR_MS
+    const reuseMs = missing.length > 0 ? MAX_AGE_ERROR_MS : departed.length > 0 ? MAX_DEPARTURE_AGE_ERROR_MS : Infinity
+    const expiresMs = performance.now() + reuseMs
     this.#encoded = { position, configuration, changeCount, expiresMs, plain, compressed: gzipSync(plain, { level: COMPRESSION_LEVEL }) }
     return this.#encoded
   }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -2,7 +2,7 @@
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
 import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
-import { REREGISTRATION_GRACE_MS, Staleness } from '../../src/gateway/backend-table.js'
+import { REREGISTRATION_GRACE_MS, RESTORED_ENTRY_DOUBT_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
@@ -288,6 +288,100 @@
     expect(gateway.backends.ready('plain')).toHaveLength(1)
   })
 
+  // Guards against requests to a server that has gone: the copy that the store returned from still listed it, and with no entry of its own it was used again.
+  test.each([
+    ['its entry was removed', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 13 })],
+    ['its entry disappeared around an outage', (gateway: Gateway) => {
+      gateway.recordStoreReachability(false)
+      gateway.applyListing({ era: 1, revision: 13, changes: [] })
+    }],
+    ['its entry was overwritten by an unreadable one', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: 'servers/b1', detail: 'no JSON', backendId: 'b1' }, { era: 1, revision: 13 })]
+  ])('does not use a server again because a new era lists it, when %s', (_name, lose) => {
+    const { gateway, clock } = servingInstance()
+    lose(gateway)
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    const listing = { era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() } as const] }
+    gateway.applyListing(listing)
+    gateway.applyListing({ ...listing, revision: 10 })
+    expect([gateway.backends.ready('plain'), gateway.backends.present()]).toEqual([[], []])
+    clock.ms += RESTORED_ENTRY_DOUBT_MS - 100
+    gateway.tick()
+    expect(gateway.backends.ready('plain')).toEqual([])
+    clock.ms += 100
+    gateway.tick()
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
+  // Guards against requests to a server that has gone: it was missing when the era changed, and the next listing took it for a new one.
+  test('does not use a server that was missing before the era and was dropped in it because it is listed again', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.recordStoreReachability(false)
+    gateway.applyListing({ era: 1, revision: 13, changes: [] })
+    clock.ms += 500
+    const changes = [{ kind: StoreChangeKind.Backend, backend: backend() } as const]
+    gateway.applyListing({ era: 2, revision: 9, changes })
+    expect(gateway.backends.staleness(backend())).toBe(Staleness.Missing)
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes })
+    expect(gateway.backends.ready('plain')).toEqual([])
+  })
+
+  // Guards against refusals: a server that the copy lacked registered late and would be taken for one that the copy has.
+  test('uses a server that the first listing of an era lacked when a later one has it', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.applyListing({ era: 2, revision: 9, changes: [] })
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
+  // Guards against requests to a server that has gone: an instance that had never known it learned of it from the copy of the store.
+  test('does not use a server that a new era lists and that a peer remembers as gone', () => {
+    const { gateway: peer, clock } = servingInstance()
+    peer.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 14 })
+    clock.ms += 500
+    const { gateway } = createInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 14, configuration: null, backends: [], departed: peer.backends.departed() })
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    expect([peer.backends.departed(), gateway.backends.ready('plain')]).toEqual([[{ id: 'b1', startedAtMs: 1, leaving: false, ageMs: 500 }], []])
+  })
+
+  // Guards against refusals: a server that was only thought to have gone would stay unused although it reports to the store.
+  test('uses a server that had gone before the era as soon as it writes its entry, or a newer incarnation is listed', () => {
+    const { gateway, clock } = servingInstance()
+    for (const id of ['b2', 'b3']) gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ id }) }, { era: 1, revision: 13 })
+    for (const id of ['b1', 'b2', 'b3']) gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id }, { era: 1, revision: 14 })
+    clock.ms += 1
+    const listed = [backend(), backend({ id: 'b2', startedAtMs: 2 }), backend({ id: 'b3' })].map((server) => ({ kind: StoreChangeKind.Backend, backend: server } as const))
+    gateway.applyListing({ era: 2, revision: 9, changes: listed })
+    expect(gateway.backends.ready('plain').map(({ id }) => id)).toEqual(['b2'])
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b3' }, { era: 2, revision: 11 })
+    expect(gateway.backends.ready('plain').map(({ id }) => id)).toEqual(['b2', 'b1'])
+  })
+
+  // Guards against requests to a server that has gone: the snapshot of a peer that only knew the copy of the store made it usable again.
+  test('does not use a server again because the snapshot of a peer in a new era has it', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 13 })
+    clock.ms += 1
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })
+    expect(gateway.backends.ready('plain')).toEqual([])
+  })
+
+  // Guards against requests to a server that has left for good: with its entry gone, nothing said that it had been leaving.
+  test('keeps a server leaving that had said so before its entry was removed, also when it writes its entry again', () => {
+    const { gateway } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ state: ServerState.Leaving }) }, { era: 1, revision: 13 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 14 })
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })
+    expect([gateway.backends.get('b1')?.state, gateway.backends.ready('plain')]).toEqual([ServerState.Leaving, []])
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
--- a/test/gateway/peer-snapshot.test.ts
+++ b/test/gateway/peer-snapshot.test.ts
@@ -28,7 +28,7 @@
   const listener = createPeerListener({
     get storePosition () { return storePosition() },
     get configuration () { return current() },
-    backends: { present: () => backends, missing: () => [], get changeCount () { return backends.length } }
+    backends: { present: () => backends, missing: () => [], departed: () => [], get changeCount () { return backends.length } }
   })
   listener.listen(0, '127.0.0.1')
   await once(listener, 'listening')
