Keep the newer incarnation of a server that a new era lists with an older one

Requests could go to the address of an incarnation that no longer runs: the copy from which the store returned was made before the server's restart.

Cause: an entry replaced the known one whatever the start times.

Change: within the doubt at the start of an era, an older incarnation is unconfirmed and the newer one counts as not listed: it is missing and is used until its time to register again has passed. At other times the newest entry holds, because the clock of a server may have been set back.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -132,12 +132,12 @@
     return confirmed
   }
 
-  /** Whether the server had gone before the present era and its entry may only be from the copy of the store. */
+  /** Whether the server had gone before the present era, or had restarted since, and its entry may only be from the copy of the store. */
   #isDoubtful (backend: BackendServer): boolean {
     if (this.#options.nowMs() - this.#eraStartedMs >= RESTORED_ENTRY_DOUBT_MS) return false
     const known = this.#entries.get(backend.id)
     if (known === undefined) return this.#departed.hadGoneBefore(backend, this.#eraStartedMs)
-    return known.missingSinceMs !== null && known.missingSinceMs < this.#eraStartedMs && backend.startedAtMs <= known.backend.startedAtMs
+    return backend.startedAtMs < known.backend.startedAtMs || (known.missingSinceMs !== null && known.missingSinceMs < this.#eraStartedMs && backend.startedAtMs === known.backend.startedAtMs)
   }
 
   put (listed: BackendServer, source = ServerSource.Watch): void {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -382,6 +382,20 @@
     expect([gateway.backends.get('b1')?.state, gateway.backends.ready('plain')]).toEqual([ServerState.Leaving, []])
   })
 
+  // Guards against requests to the address of an incarnation that no longer runs: the copy of the store had it, and the one that runs now was forgotten.
+  test('keeps the newer incarnation of a server that a new era lists with an older one, and drops it if it does not register again', () => {
+    const { gateway, clock } = servingInstance()
+    const restarted = backend({ startedAtMs: 2, address: '10.0.0.2:80' })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: restarted }, { era: 1, revision: 13 })
+    const changes = [{ kind: StoreChangeKind.Backend, backend: backend() } as const]
+    gateway.applyListing({ era: 2, revision: 9, changes })
+    expect([gateway.backends.get('b1'), gateway.backends.staleness(restarted)]).toEqual([restarted, Staleness.Missing])
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes })
+    expect(gateway.backends.get('b1')).toBeUndefined()
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
