Make fencing tokens of orders rise over eras of the store

After the store had returned from a copy, an instance could send an order with a fencing token that runners had seen before or a lower one, or none at all for good, and two instances could order one service's runners in turn (rule ONE).

Cause: a token was the revision of a conditional write, and revisions go back. Records with a lower revision than the known one were ignored, so the write named a revision that the store no longer had. A lost record no longer kept others from taking a turn.

Change: a token is era * 2^36 + revision, a safe integer up to era 131071; no order is sent beyond. Records are those of the present era: the revision that a write expects is that of the new listing, or 0. For turn + margin after an era was first seen nobody acquires, at the start of an instance too, since it can't know whether a record was lost. A token that was granted in an era that the instance had not seen is not used: its write may have matched the record in the copy while another holder's later record was lost.

The expected tokens of the existing tests only have the era added.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -192,6 +192,7 @@
 
   applyListing (listing: StoreListing): void {
     this.#followEra(listing)
+    this.orderTokenIssuer.observeEra(listing.era)
     const backends: BackendServer[] = []
     for (const change of listing.changes) {
       if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
@@ -205,8 +206,8 @@
   applyChange (change: StoreChange, position: StorePosition): void {
     if (describesServer(change) && this.#isSuperseded(position)) return
     this.#advancePosition(position)
-    const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange) => void
-    handler(this, change)
+    const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange, era: number) => void
+    handler(this, change, position.era)
   }
 
   /** Applies the changed settings that can change at run time, and logs which of the others wait for the next start. */
@@ -217,8 +218,8 @@
     if (applied.length + deferred.length > 0) log.info('settings.reloaded', { applied: applied.join() || 'none', atNextStart: deferred.join() || 'none' })
   }
 
-  observeOrder (service: string, record: OrderRecord): void {
-    this.orderTokenIssuer.observe(service, record)
+  observeOrder (service: string, record: OrderRecord, era: number): void {
+    this.orderTokenIssuer.observe(service, record, era)
     if (record.holder !== this.#options.settings.id) this.#roleRebalancer.recordPeerOrder(record.server)
   }
 
@@ -453,7 +454,7 @@
   }
 }
 
-type ChangeHandlers = { [K in StoreChangeKind]: (gateway: Gateway, change: Extract<StoreChange, { kind: K }>) => void }
+type ChangeHandlers = { [K in StoreChangeKind]: (gateway: Gateway, change: Extract<StoreChange, { kind: K }>, era: number) => void }
 
 const changeHandlers: ChangeHandlers = {
   [StoreChangeKind.Configuration]: (gateway, { configuration }) => gateway.applyConfiguration(configuration, 'store'),
@@ -462,6 +463,6 @@
   [StoreChangeKind.Instance]: (gateway, { ip }) => gateway.instances.addAddress(ip),
   // An instance counts as dead only when its heartbeats stop: its entry may be removed while it still serves requests.
   [StoreChangeKind.InstanceRemoved]: () => {},
-  [StoreChangeKind.OrderRecord]: (gateway, { service, record }) => gateway.observeOrder(service, record),
+  [StoreChangeKind.OrderRecord]: (gateway, { service, record }, era) => gateway.observeOrder(service, record, era),
   [StoreChangeKind.Unreadable]: (gateway, change) => gateway.handleUnreadableEntry(change)
 }
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -57,8 +57,8 @@
   watch: (afterRevision: number, waitMs: number) => Promise<StoreListing | StoreError>
   /** Writes the entry of this instance, from which new instances get its address; null if it was written. */
   announce: (ip: string) => Promise<StoreError | null>
-  /** Writes the order record of a service if its revision is still `expectedRevision`, 0 if there is no record yet; the new revision is the fencing token of the order. */
-  recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, expectedRevision: number) => Promise<{ revision: number } | StoreError>
+  /** Writes the order record of a service if its revision is still `expectedRevision`, 0 if there is no record yet; the position of the write makes the fencing token of the order. */
+  recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, expectedRevision: number) => Promise<StorePosition | StoreError>
 }
 
 export function isStoreError (result: StoreListing | StoreError): result is StoreError {
--- a/test/gateway/role-rebalancer.test.ts
+++ b/test/gateway/role-rebalancer.test.ts
@@ -9,17 +9,28 @@
 const mix = { promptTokens: 5200, outputTokens: 5100, prefillTokensPerMs: 50, msPerToken: 0.85, memoryTokens: 95_000 }
 const TURN_MS = 3000
 
+/** Base of the fencing tokens of an era. */
+const ERA_TOKENS = 2 ** 36
+
 /** A store with one record; each write advances the caller's clock by `delayMs` before it is answered. */
 class RecordStore {
   record: OrderRecord | null = null
   delayMs = 0
+  era = 1
+  revision = 40
+
+  /** Returns from a copy that was made at the revision, with the record of that time. */
+  restore (record: OrderRecord | null, revision: number): void {
+    Object.assign(this, { record, revision, era: this.era + 1 })
+  }
 
   recordOrderWith (clock: { ms: number }): PlatformStore['recordOrder'] {
     return (_service, order, expectedRevision) => {
       clock.ms += this.delayMs
       if ((this.record?.revision ?? 0) !== expectedRevision) return Promise.resolve({ kind: StoreErrorKind.Conflict, detail: 'changed' })
-      this.record = { ...order, revision: (this.record?.revision ?? 40) + 1 }
-      return Promise.resolve({ revision: this.record.revision })
+      this.revision += 1
+      this.record = { ...order, revision: this.revision }
+      return Promise.resolve({ era: this.era, revision: this.revision })
     }
   }
 }
@@ -44,6 +55,7 @@
   for (const id of ['d1', 'd2', 'd3']) backends.put(runner(id, RunnerRole.Decode))
   const backendClient = new ScriptedBackendClient(() => 'silent')
   const tokenIssuer = new OrderTokenIssuer({ store: { recordOrder: store.recordOrderWith(clock) } as PlatformStore, holder, turnMs: () => TURN_MS, log, nowMs })
+  tokenIssuer.observeEra(store.era)
   const rebalancer = new RoleRebalancer({ backends, backendClient, tokenIssuer, holder, requestMix: () => mix, load: () => 0, log, nowMs })
   const advance = async (ms: number): Promise<void> => {
     for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 500) {
@@ -60,7 +72,7 @@
     await advance(2500)
     expect(backendClient.orders).toEqual([])
     await advance(6000)
-    expect(backendClient.orders).toMatchObject([{ backend: { id: 'p1' }, role: 'decode', holder: 'a', fencingToken: 41 }])
+    expect(backendClient.orders).toMatchObject([{ backend: { id: 'p1' }, role: 'decode', holder: 'a', fencingToken: ERA_TOKENS + 41 }])
     expect(rebalancer.isChanging('p1')).toBe(true)
     backends.put(backend({ id: 'p1', service: 'model', stage: RunnerRole.Decode }))
     await advance(8000)
@@ -92,11 +104,11 @@
     const first = createInstance('a', store)
     const second = createInstance('b', store)
     await first.advance(5000)
-    second.tokenIssuer.observe('model', { holder: 'a', server: 'p1', revision: 41 })
+    second.tokenIssuer.observe('model', { holder: 'a', server: 'p1', revision: 41 }, 1)
     await second.advance(4000)
     expect(second.backendClient.orders).toEqual([])
     await second.advance(3000)
-    expect(second.backendClient.orders).toMatchObject([{ holder: 'b', fencingToken: 42 }])
+    expect(second.backendClient.orders).toMatchObject([{ holder: 'b', fencingToken: ERA_TOKENS + 42 }])
   })
 
   test('an instance that has not seen the newest record acquires no fencing token', async () => {
@@ -114,4 +126,59 @@
     await advance(5000)
     expect(backendClient.orders).toEqual([])
   })
+
+  // Guards against two orders with one fencing token, or a lower one after a higher one: the store gives its revisions out again.
+  test.each([
+    ['has the record of that time', { holder: 'a', server: 'p1', revision: 41 }],
+    ['has no record yet', null]
+  ])('fencing tokens rise when the store returns from a copy that %s', async (_name, record) => {
+    const store = new RecordStore()
+    const { tokenIssuer, clock } = createInstance('a', store)
+    clock.ms += 5000
+    const tokens = [await tokenIssuer.acquire('model', 'p1'), await tokenIssuer.acquire('model', 'p2'), await tokenIssuer.acquire('model', 'p1')]
+    store.restore(record, 41)
+    tokenIssuer.observeEra(2)
+    if (record !== null) tokenIssuer.observe('model', record, 2)
+    clock.ms += 5000
+    tokens.push(await tokenIssuer.acquire('model', 'p2'))
+    expect(tokens).toEqual([ERA_TOKENS + 41, ERA_TOKENS + 42, ERA_TOKENS + 43, 2 * ERA_TOKENS + 42])
+  })
+
+  // Guards against orders of two holders in turn: the store had lost the record of the first one's order.
+  test('an instance acquires no fencing token until the turn of a holder whose record was lost has passed', async () => {
+    const store = new RecordStore()
+    const first = createInstance('a', store)
+    const second = createInstance('b', store)
+    for (const { clock } of [first, second]) clock.ms += 5000
+    expect(await first.tokenIssuer.acquire('model', 'p1')).not.toBeNull()
+    store.restore(null, 40)
+    second.tokenIssuer.observeEra(2)
+    expect(await second.tokenIssuer.acquire('model', 'p1')).toBeNull()
+    second.clock.ms += TURN_MS + 1400
+    expect(await second.tokenIssuer.acquire('model', 'p1')).toBeNull()
+    second.clock.ms += 200
+    expect(await second.tokenIssuer.acquire('model', 'p1')).toBe(2 * ERA_TOKENS + 41)
+  })
+
+  // Guards against orders of two holders in turn: the copy had the first one's older record, so that its write succeeded before it learned of the new era.
+  test('an instance sends no order with a token that was granted in an era that it has not seen', async () => {
+    const store = new RecordStore()
+    const { tokenIssuer, clock } = createInstance('a', store)
+    clock.ms += 5000
+    await tokenIssuer.acquire('model', 'p1')
+    store.restore({ holder: 'a', server: 'p1', revision: 41 }, 41)
+    expect(await tokenIssuer.acquire('model', 'p2')).toBeNull()
+    expect(tokenIssuer.mayAcquire('model')).toBe(false)
+    clock.ms += 5000
+    expect(await tokenIssuer.acquire('model', 'p2')).toBe(2 * ERA_TOKENS + 43)
+  })
+
+  // Guards against a token that is rounded to that of another order.
+  test('an instance sends no order with a token that is no safe integer', async () => {
+    const store = new RecordStore()
+    store.era = 2 ** 18
+    const { tokenIssuer, clock } = createInstance('a', store)
+    clock.ms += 5000
+    expect(await tokenIssuer.acquire('model', 'p1')).toBeNull()
+  })
 })
--- a/test/gateway/store-watcher.test.ts
+++ b/test/gateway/store-watcher.test.ts
@@ -28,7 +28,7 @@
       announced += 1
       return Promise.resolve(announcements.shift() ?? null)
     },
-    recordOrder: () => Promise.resolve({ revision: 1 })
+    recordOrder: () => Promise.resolve({ era: 1, revision: 1 })
   }
   const log = recordingLog()
   const watcher = new StoreWatcher({
