--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -12,7 +12,7 @@
 import { decodeDatagram, encodeDatagram, type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
-import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
+import { type PlatformStore, type StoreChange, StoreChangeKind } from '../../src/gateway/platform-store.js'
 import { GatewayRefusal } from '../../src/gateway/refusal.js'
 import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
@@ -396,6 +396,28 @@
     expect(gateway.backends.get('b1')).toBeUndefined()
   })
 
+  // Guards against a configuration that comes back older: the copy that the store returned from holds the one before.
+  test('keeps its configuration when a new era holds an older version, and takes the same version again without effect', () => {
+    const { gateway, log } = servingInstance()
+    const written = (version: number): StoreChange => ({ kind: StoreChangeKind.Configuration, configuration: configuration({ version }) })
+    gateway.applyListing({ era: 2, revision: 9, changes: [written(5)] })
+    gateway.applyChange(written(7), { era: 2, revision: 10 })
+    expect([gateway.configuration?.version, gateway.configuration?.routes.length, log.lines.filter((line) => line.startsWith('configuration.'))]).toEqual([7, 2, []])
+    gateway.applyChange(written(8), { era: 2, revision: 11 })
+    expect(gateway.configuration?.version).toBe(8)
+  })
+
+  // Guards against an instance that serves an older configuration than the others: it started when the store had just returned from a copy, and could reach it.
+  test('asks a peer for a newer configuration than that of the store, although it reaches the store in a newer era', () => {
+    const { gateway } = createInstance()
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Configuration, configuration: configuration({ version: 5 }) }] })
+    gateway.recordStoreReachability(true)
+    gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 7, storeEra: 1, storeRevision: 57 })
+    expect(gateway.peerWithNewerState()?.ip).toBe('10.0.0.2')
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 57, configuration: configuration({ version: 7 }), backends: [] })
+    expect([gateway.configuration?.version, gateway.peerWithNewerState()]).toEqual([7, undefined])
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
