--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -200,11 +200,12 @@
     }
     this.#advancePosition(listing)
     this.#hasListing = true
-    if (!this.#isSuperseded(listing)) this.backends.replaceAll(backends)
+    if (this.#isSuperseded(listing)) this.#logSuperseded(listing)
+    else this.backends.replaceAll(backends)
   }
 
   applyChange (change: StoreChange, position: StorePosition): void {
-    if (describesServer(change) && this.#isSuperseded(position)) return
+    if (describesServer(change) && this.#isSuperseded(position)) return this.#logSuperseded(position)
     this.#advancePosition(position)
     const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange, era: number) => void
     handler(this, change, position.era)
@@ -419,6 +420,11 @@
     return comparePositions(position, this.#snapshotPosition) < 0
   }
 
+  #logSuperseded ({ era, revision }: StorePosition): void {
+    const { era: snapshotEra, revision: snapshotRevision } = this.#snapshotPosition
+    this.#options.log.info('store.superseded', { era, revision, snapshotEra, snapshotRevision })
+  }
+
   #trackConfigurationLag (): void {
     const { configurationVersion: own, storeRevision, reachesStore } = this.status()
     const newest = Math.max(own, ...this.instances.live().map(({ configurationVersion }) => configurationVersion))
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -182,7 +182,7 @@
 
   // Guards against requests to a leaving server: a delayed response of the store made it ready again after a peer's newer snapshot.
   test('ignores the servers of a store response that is older than the snapshot of a peer', () => {
-    const { gateway } = servingInstance()
+    const { gateway, log } = servingInstance()
     const ready = backend({ id: 'b5' })
     const leaving = backend({ id: 'b5', state: ServerState.Leaving })
     gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 20, configuration: null, backends: [leaving] })
@@ -193,6 +193,7 @@
     expect([gateway.backends.get('b5')?.state, gateway.configuration?.version]).toEqual([ServerState.Leaving, 8])
     gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, { era: 1, revision: 21 })
     expect(gateway.backends.get('b5')).toBeUndefined()
+    expect(log.lines.filter((line) => line.startsWith('store.'))).toEqual([18, 19, 19].map((revision) => `store.superseded era=1 revision=${revision} snapshotEra=1 snapshotRevision=20`))
   })
 
   // Guards against requests to a server that has gone: the listing that no longer had it was ignored after a peer's snapshot.
