--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -2,6 +2,7 @@
 import type { Configuration } from './configuration.js'
 import type { Transfer } from './control-request.js'
 import type { OrderRecord } from './order-token-issuer.js'
+import type { StorePosition } from './store-position.js'
 
 export enum StoreChangeKind {
   Configuration = 'configuration',
@@ -25,9 +26,8 @@
   | { kind: StoreChangeKind.OrderRecord, service: string, record: OrderRecord }
   | { kind: StoreChangeKind.Unreadable, key: string, detail: string, backendId: string | null }
 
-/** The result of a listing or a watch call: entries or changes, and the store revision that they reach. */
-export interface StoreListing {
-  revision: number
+/** The result of a listing or a watch call: entries or changes, and the position of the store that they reach. */
+export interface StoreListing extends StorePosition {
   changes: StoreChange[]
   /** Size and timing of the response; of the last page if there were several. */
   transfer?: Transfer
@@ -45,18 +45,20 @@
 export interface StoreError {
   kind: StoreErrorKind
   detail: string
+  /** Era of the answer; undefined if there was none. */
+  era?: number
 }
 
 /** The platform's store as the gateway uses it. */
 export interface PlatformStore {
-  /** All entries, and the revision to watch from; later changes that the listing already contains are repeated by watch(). */
+  /** All entries of one era, and the revision to watch from; later changes that the listing already contains are repeated by watch(). */
   list: () => Promise<StoreListing | StoreError>
   /** The changes after a revision; waits up to `waitMs` milliseconds for the first ones. */
   watch: (afterRevision: number, waitMs: number) => Promise<StoreListing | StoreError>
   /** Writes the entry of this instance, from which new instances get its address; null if it was written. */
   announce: (ip: string) => Promise<StoreError | null>
-  /** Writes the order record of a service if its revision is still `expectedRevision`, 0 if there is no record yet; the new revision is the fencing token of the order. */
-  recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, expectedRevision: number) => Promise<{ revision: number } | StoreError>
+  /** Writes the order record of a service if its revision is still `expectedRevision`, 0 if there is no record yet; the position of the write makes the fencing token of the order. */
+  recordOrder: (service: string, order: Pick<OrderRecord, 'holder' | 'server'>, expectedRevision: number) => Promise<StorePosition | StoreError>
 }
 
 export function isStoreError (result: StoreListing | StoreError): result is StoreError {
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -2,17 +2,17 @@
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
 import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
-import { Staleness } from '../../src/gateway/backend-table.js'
+import { REREGISTRATION_GRACE_MS, RESTORED_ENTRY_DOUBT_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { type GatewaySettings, gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
-import { decodeDatagram, encodeDatagram, type PeerDatagram } from '../../src/gateway/peer-datagram.js'
+import { decodeDatagram, encodeDatagram, type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
-import { type PlatformStore, StoreChangeKind } from '../../src/gateway/platform-store.js'
+import { type PlatformStore, type StoreChange, StoreChangeKind } from '../../src/gateway/platform-store.js'
 import { GatewayRefusal } from '../../src/gateway/refusal.js'
 import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
@@ -63,7 +63,7 @@
       route({ name: 'stream', pathPrefix: '/stream/', kind: RouteKind.Streaming, attempts: 1, services: [{ service: 'model', weight: 1 }] })
     ]
   }), 'store')
-  fixture.gateway.applyListing({ revision: 12, changes: [] })
+  fixture.gateway.applyListing({ era: 1, revision: 12, changes: [] })
   fixture.gateway.backends.put(backend())
   fixture.gateway.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }))
   fixture.clock.ms = LISTENING_MS
@@ -96,7 +96,7 @@
     const { gateway } = servingInstance()
     if (!reached) gateway.recordStoreReachability(false)
     const [server] = gateway.backends.all()
-    gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: `servers/${server?.id}`, detail: 'no JSON', backendId: server?.id ?? '' }, 13)
+    gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: `servers/${server?.id}`, detail: 'no JSON', backendId: server?.id ?? '' }, { era: 1, revision: 13 })
     expect(gateway.backends.get(server?.id ?? '')).toBeUndefined()
   })
 
@@ -121,7 +121,7 @@
   test('is ready once it has a configuration and a listing and has waited for the heartbeats of others, until it stops', () => {
     const { gateway, clock } = createInstance()
     gateway.applyConfiguration(configuration(), 'store')
-    gateway.applyListing({ revision: 1, changes: [] })
+    gateway.applyListing({ era: 1, revision: 1, changes: [] })
     expect(gateway.ready).toBe(false)
     clock.ms = LISTENING_MS
     expect(gateway.ready).toBe(true)
@@ -131,10 +131,10 @@
 
   test('applies the newer configuration of a peer, and its servers only if its store revision is newer', () => {
     const { gateway } = servingInstance()
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 11, configuration: configuration({ version: 9 }), backends: [] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 11, configuration: configuration({ version: 9 }), backends: [] })
     expect(gateway.configuration?.version).toBe(9)
     expect(gateway.backends.all()).toHaveLength(2)
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 13, configuration: null, backends: [backend({ id: 'b9' })] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 13, configuration: null, backends: [backend({ id: 'b9' })] })
     expect(gateway.backends.get('b9')).toBeDefined()
   })
 
@@ -170,7 +170,7 @@
     const server = backend()
     if (removed) gateway.backends.remove(server.id)
     peer.recordStoreReachability(false)
-    peer.applyListing({ revision: 14, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) }] })
+    peer.applyListing({ era: 1, revision: 14, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) }] })
     const listener = createPeerListener(peer)
     listener.listen(0, '127.0.0.1')
     await once(listener, 'listening')
@@ -182,24 +182,25 @@
 
   // Guards against requests to a leaving server: a delayed response of the store made it ready again after a peer's newer snapshot.
   test('ignores the servers of a store response that is older than the snapshot of a peer', () => {
-    const { gateway } = servingInstance()
+    const { gateway, log } = servingInstance()
     const ready = backend({ id: 'b5' })
     const leaving = backend({ id: 'b5', state: ServerState.Leaving })
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [leaving] })
-    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: ready }, 18)
-    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, 19)
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 20, configuration: null, backends: [leaving] })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: ready }, { era: 1, revision: 18 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, { era: 1, revision: 19 })
     expect(gateway.backends.get('b5')?.state).toBe(ServerState.Leaving)
-    gateway.applyListing({ revision: 19, changes: [{ kind: StoreChangeKind.Backend, backend: ready }, { kind: StoreChangeKind.Configuration, configuration: configuration({ version: 8 }) }] })
+    gateway.applyListing({ era: 1, revision: 19, changes: [{ kind: StoreChangeKind.Backend, backend: ready }, { kind: StoreChangeKind.Configuration, configuration: configuration({ version: 8 }) }] })
     expect([gateway.backends.get('b5')?.state, gateway.configuration?.version]).toEqual([ServerState.Leaving, 8])
-    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, 21)
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b5' }, { era: 1, revision: 21 })
     expect(gateway.backends.get('b5')).toBeUndefined()
+    expect(log.lines.filter((line) => line.startsWith('store.'))).toEqual([18, 19, 19].map((revision) => `store.superseded era=1 revision=${revision} snapshotEra=1 snapshotRevision=20`))
   })
 
   // Guards against requests to a server that has gone: the listing that no longer had it was ignored after a peer's snapshot.
   test('applies a listing of the same revision as the snapshot of a peer', () => {
     const { gateway } = servingInstance()
-    gateway.applyPeerSnapshot('10.0.0.2', { revision: 20, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
-    gateway.applyListing({ revision: 20, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6' }) }] })
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 20, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
+    gateway.applyListing({ era: 1, revision: 20, changes: [{ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6' }) }] })
     expect(gateway.backends.all().map(({ id }) => id)).toEqual(['b6'])
   })
 
@@ -217,6 +218,207 @@
     expect(gateway.inFlight).toBe(0)
   })
 
+  // Guards against requests to servers that have left: after the store had returned from a copy, its listings and changes were ignored until it reached the revision of a peer's snapshot again.
+  test('applies the servers of a store that has returned from a copy with lower revisions', () => {
+    const { gateway } = servingInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 57, configuration: null, backends: [backend({ id: 'b5' }), backend({ id: 'b6' })] })
+    gateway.applyListing({ era: 2, revision: 30, changes: ['b5', 'b6', 'b7'].map((id) => ({ kind: StoreChangeKind.Backend, backend: backend({ id }) })) })
+    expect(gateway.backends.get('b7')).toBeDefined()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ id: 'b6', state: ServerState.Leaving }) }, { era: 2, revision: 31 })
+    expect(gateway.backends.get('b6')?.state).toBe(ServerState.Leaving)
+    expect(gateway.status()).toMatchObject({ storeEra: 2, storeRevision: 31 })
+  })
+
+  // Guards against requests to servers that have left: the snapshot of a peer that still had the revisions of a lost history replaced a newer table.
+  test('takes the servers of a peer from a newer era whatever its revision, and none from an older era', () => {
+    const { gateway } = servingInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 5, configuration: null, backends: [backend({ id: 'b5' })] })
+    gateway.applyPeerSnapshot('10.0.0.3', { era: 1, revision: 57, configuration: null, backends: [backend({ id: 'b6' })] })
+    gateway.applyPeerSnapshot('10.0.0.4', { revision: 58, configuration: null, backends: [backend({ id: 'b7' })] })
+    expect(gateway.backends.present().map(({ id }) => id)).toEqual(['b5'])
+  })
+
+  // Guards against an instance without the store that asks the peers that are stuck in the lost history for a snapshot, and never those that follow the store.
+  test('asks a peer in a newer era for its state, and none in an older era with a higher revision', () => {
+    const { gateway } = servingInstance()
+    gateway.applyListing({ era: 2, revision: 30, changes: [] })
+    gateway.recordStoreReachability(false)
+    const peer = { ...gateway.status(), reachesStore: true }
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.2', storeEra: 1, storeRevision: 57 })
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.3', storeEra: undefined, storeRevision: 58 })
+    expect(gateway.peerWithNewerState()).toBeUndefined()
+    gateway.instances.recordHeartbeat({ ...peer, ip: '10.0.0.4', storeEra: 3, storeRevision: 4 })
+    expect(gateway.peerWithNewerState()?.ip).toBe('10.0.0.4')
+  })
+
+  // Guards against statuses that lose the era on the way, or that beside instances of older versions are dropped for lack of it.
+  test.each([2, undefined])('sends and receives a heartbeat whose era is %s', (storeEra) => {
+    const { gateway, sent } = servingInstance()
+    gateway.sendHeartbeat(['10.0.0.2'])
+    const heartbeat = sent.find(({ kind }) => kind === PeerDatagramKind.Heartbeat) as Extract<PeerDatagram, { kind: PeerDatagramKind.Heartbeat }>
+    const status = JSON.parse(JSON.stringify({ ...heartbeat.status, storeEra })) as typeof heartbeat.status
+    expect(decodeDatagram(encodeDatagram({ ...heartbeat, status }))).toEqual({ ...heartbeat, status })
+  })
+
+  // Guards against refusals: a server that had registered after the copy of the store was made was dropped by the first listing of the new era.
+  test.each([
+    ['listing', (gateway: Gateway) => gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })],
+    ['snapshot of a peer', (gateway: Gateway) => gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })]
+  ])('keeps a server that the first %s of a new era lacks until its time to register again has passed', (_name, apply) => {
+    const { gateway, clock } = servingInstance()
+    const later = backend({ id: 'b2' })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: later }, { era: 1, revision: 13 })
+    apply(gateway)
+    expect([gateway.backends.staleness(later), gateway.backends.accepts(later)]).toEqual([Staleness.Missing, true])
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    expect(gateway.backends.get('b2')).toBeUndefined()
+  })
+
+  // Guards against requests to a leaving server: the copy that the store returned from still listed it as ready.
+  test.each([
+    ['listing', (gateway: Gateway) => gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })],
+    ['change', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })],
+    ['snapshot of a peer', (gateway: Gateway) => gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })]
+  ])('keeps a server leaving that a %s of a new era has as ready, until it restarts', (_name, apply) => {
+    const { gateway } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ state: ServerState.Leaving }) }, { era: 1, revision: 13 })
+    apply(gateway)
+    expect([gateway.backends.get('b1')?.state, gateway.backends.ready('plain')]).toEqual([ServerState.Leaving, []])
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ startedAtMs: 2 }) }, { era: 2, revision: 11 })
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
+  // Guards against requests to a server that has gone: the copy that the store returned from still listed it, and with no entry of its own it was used again.
+  test.each([
+    ['its entry was removed', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 13 })],
+    ['its entry disappeared around an outage', (gateway: Gateway) => {
+      gateway.recordStoreReachability(false)
+      gateway.applyListing({ era: 1, revision: 13, changes: [] })
+    }],
+    ['its entry was overwritten by an unreadable one', (gateway: Gateway) => gateway.applyChange({ kind: StoreChangeKind.Unreadable, key: 'servers/b1', detail: 'no JSON', backendId: 'b1' }, { era: 1, revision: 13 })]
+  ])('does not use a server again because a new era lists it, when %s', (_name, lose) => {
+    const { gateway, clock } = servingInstance()
+    lose(gateway)
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    const listing = { era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() } as const] }
+    gateway.applyListing(listing)
+    gateway.applyListing({ ...listing, revision: 10 })
+    expect([gateway.backends.ready('plain'), gateway.backends.present()]).toEqual([[], []])
+    clock.ms += RESTORED_ENTRY_DOUBT_MS - 100
+    gateway.tick()
+    expect(gateway.backends.ready('plain')).toEqual([])
+    clock.ms += 100
+    gateway.tick()
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
+  // Guards against requests to a server that has gone: it was missing when the era changed, and the next listing took it for a new one.
+  test('does not use a server that was missing before the era and was dropped in it because it is listed again', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.recordStoreReachability(false)
+    gateway.applyListing({ era: 1, revision: 13, changes: [] })
+    clock.ms += 500
+    const changes = [{ kind: StoreChangeKind.Backend, backend: backend() } as const]
+    gateway.applyListing({ era: 2, revision: 9, changes })
+    expect(gateway.backends.staleness(backend())).toBe(Staleness.Missing)
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes })
+    expect(gateway.backends.ready('plain')).toEqual([])
+  })
+
+  // Guards against refusals: a server that the copy lacked registered late and would be taken for one that the copy has.
+  test('uses a server that the first listing of an era lacked when a later one has it', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.applyListing({ era: 2, revision: 9, changes: [] })
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    expect(gateway.backends.ready('plain')).toHaveLength(1)
+  })
+
+  // Guards against requests to a server that has gone: an instance that had never known it learned of it from the copy of the store.
+  test('does not use a server that a new era lists and that a peer remembers as gone', () => {
+    const { gateway: peer, clock } = servingInstance()
+    peer.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 14 })
+    clock.ms += 500
+    const { gateway } = createInstance()
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 14, configuration: null, backends: [], departed: peer.backends.departed() })
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    expect([peer.backends.departed(), gateway.backends.ready('plain')]).toEqual([[{ id: 'b1', startedAtMs: 1, leaving: false, ageMs: 500 }], []])
+  })
+
+  // Guards against refusals: a server that was only thought to have gone would stay unused although it reports to the store.
+  test('uses a server that had gone before the era as soon as it writes its entry, or a newer incarnation is listed', () => {
+    const { gateway, clock } = servingInstance()
+    for (const id of ['b2', 'b3']) gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ id }) }, { era: 1, revision: 13 })
+    for (const id of ['b1', 'b2', 'b3']) gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id }, { era: 1, revision: 14 })
+    clock.ms += 1
+    const listed = [backend(), backend({ id: 'b2', startedAtMs: 2 }), backend({ id: 'b3' })].map((server) => ({ kind: StoreChangeKind.Backend, backend: server } as const))
+    gateway.applyListing({ era: 2, revision: 9, changes: listed })
+    expect(gateway.backends.ready('plain').map(({ id }) => id)).toEqual(['b2'])
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b3' }, { era: 2, revision: 11 })
+    expect(gateway.backends.ready('plain').map(({ id }) => id)).toEqual(['b2', 'b1'])
+  })
+
+  // Guards against requests to a server that has gone: the snapshot of a peer that only knew the copy of the store made it usable again.
+  test('does not use a server again because the snapshot of a peer in a new era has it', () => {
+    const { gateway, clock } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 13 })
+    clock.ms += 1
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 2, revision: 9, configuration: null, backends: [backend()] })
+    expect(gateway.backends.ready('plain')).toEqual([])
+  })
+
+  // Guards against requests to a server that has left for good: with its entry gone, nothing said that it had been leaving.
+  test('keeps a server leaving that had said so before its entry was removed, also when it writes its entry again', () => {
+    const { gateway } = servingInstance()
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend({ state: ServerState.Leaving }) }, { era: 1, revision: 13 })
+    gateway.applyChange({ kind: StoreChangeKind.BackendRemoved, id: 'b1' }, { era: 1, revision: 14 })
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Backend, backend: backend() }] })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: backend() }, { era: 2, revision: 10 })
+    expect([gateway.backends.get('b1')?.state, gateway.backends.ready('plain')]).toEqual([ServerState.Leaving, []])
+  })
+
+  // Guards against requests to the address of an incarnation that no longer runs: the copy of the store had it, and the one that runs now was forgotten.
+  test('keeps the newer incarnation of a server that a new era lists with an older one, and drops it if it does not register again', () => {
+    const { gateway, clock } = servingInstance()
+    const restarted = backend({ startedAtMs: 2, address: '10.0.0.2:80' })
+    gateway.applyChange({ kind: StoreChangeKind.Backend, backend: restarted }, { era: 1, revision: 13 })
+    const changes = [{ kind: StoreChangeKind.Backend, backend: backend() } as const]
+    gateway.applyListing({ era: 2, revision: 9, changes })
+    expect([gateway.backends.get('b1'), gateway.backends.staleness(restarted)]).toEqual([restarted, Staleness.Missing])
+    clock.ms += REREGISTRATION_GRACE_MS
+    gateway.tick()
+    gateway.applyListing({ era: 2, revision: 10, changes })
+    expect(gateway.backends.get('b1')).toBeUndefined()
+  })
+
+  // Guards against a configuration that comes back older: the copy that the store returned from holds the one before.
+  test('keeps its configuration when a new era holds an older version, and takes the same version again without effect', () => {
+    const { gateway, log } = servingInstance()
+    const written = (version: number): StoreChange => ({ kind: StoreChangeKind.Configuration, configuration: configuration({ version }) })
+    gateway.applyListing({ era: 2, revision: 9, changes: [written(5)] })
+    gateway.applyChange(written(7), { era: 2, revision: 10 })
+    expect([gateway.configuration?.version, gateway.configuration?.routes.length, log.lines.filter((line) => line.startsWith('configuration.'))]).toEqual([7, 2, []])
+    gateway.applyChange(written(8), { era: 2, revision: 11 })
+    expect(gateway.configuration?.version).toBe(8)
+  })
+
+  // Guards against an instance that serves an older configuration than the others: it started when the store had just returned from a copy, and could reach it.
+  test('asks a peer for a newer configuration than that of the store, although it reaches the store in a newer era', () => {
+    const { gateway } = createInstance()
+    gateway.applyListing({ era: 2, revision: 9, changes: [{ kind: StoreChangeKind.Configuration, configuration: configuration({ version: 5 }) }] })
+    gateway.recordStoreReachability(true)
+    gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 7, storeEra: 1, storeRevision: 57 })
+    expect(gateway.peerWithNewerState()?.ip).toBe('10.0.0.2')
+    gateway.applyPeerSnapshot('10.0.0.2', { era: 1, revision: 57, configuration: configuration({ version: 7 }), backends: [] })
+    expect([gateway.configuration?.version, gateway.peerWithNewerState()]).toEqual([7, undefined])
+  })
+
   test('logs once that a newer configuration is known but not in force, and exposes since when', () => {
     const { gateway, log, clock } = servingInstance()
     gateway.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.2', configurationVersion: 9 })
--- a/test/gateway/store-watcher.test.ts
+++ b/test/gateway/store-watcher.test.ts
@@ -6,8 +6,8 @@
 const unreachable: StoreError = { kind: StoreErrorKind.Unreachable, detail: 'down' }
 const historyLost: StoreError = { kind: StoreErrorKind.HistoryLost, detail: 'compacted' }
 
-/** Runs a watcher on a store whose watch calls return the scripted results in turn; resolves when all of them have been used. */
-async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], announcements = [], watchMs = 0 }: { listed?: StoreChange[], announcements?: Array<StoreError | null>, watchMs?: number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
+/** Runs a watcher on a store whose watch calls return the scripted results in turn, and whose listings are of the scripted eras, or else of era 1; resolves when all of them have been used. */
+async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], eras = [], announcements = [], watchMs = 0 }: { listed?: StoreChange[], eras?: number[], announcements?: Array<StoreError | null>, watchMs?: number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
   const events: string[] = []
   let announced = 0
   let revision = 10
@@ -15,7 +15,7 @@
   let finish = (): void => {}
   const allConsumed = new Promise<void>((resolve) => { finish = resolve })
   const store: PlatformStore = {
-    list: () => Promise.resolve({ revision: revision++, changes: listed }),
+    list: () => Promise.resolve({ era: eras.shift() ?? 1, revision: revision++, changes: listed }),
     watch: (after) => {
       events.push(`watch after ${after}`)
       const result = watches.shift()
@@ -28,7 +28,7 @@
       announced += 1
       return Promise.resolve(announcements.shift() ?? null)
     },
-    recordOrder: () => Promise.resolve({ revision: 1 })
+    recordOrder: () => Promise.resolve({ era: 1, revision: 1 })
   }
   const log = recordingLog()
   const watcher = new StoreWatcher({
@@ -38,7 +38,7 @@
     random: () => 0,
     nowMs: () => clock.ms,
     onListing: (listing) => events.push(`listing ${listing.revision}`),
-    onChange: (change: StoreChange, storeRevision) => events.push(`${change.kind} ${storeRevision}`),
+    onChange: (change: StoreChange, { revision: reached }) => events.push(`${change.kind} ${reached}`),
     onReachability: (reached) => events.push(reached ? 'reached' : 'lost')
   })
   watcher.run().catch((error: unknown) => events.push(String(error)))
@@ -48,7 +48,7 @@
 
 describe('StoreWatcher', () => {
   test('watches from the revision of the listing on', async () => {
-    const { events, announced } = await watchStore([{ revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
+    const { events, announced } = await watchStore([{ era: 1, revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
     expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'backend-removed 12', 'watch after 12'])
     expect(announced).toBe(1)
   })
@@ -65,7 +65,7 @@
 
   test('reads a new listing when one response holds several versions of the configuration', async () => {
     const change: StoreChange = { kind: StoreChangeKind.Configuration, configuration: configuration() }
-    const { events } = await watchStore([{ revision: 12, changes: [change, change] }])
+    const { events } = await watchStore([{ era: 1, revision: 12, changes: [change, change] }])
     expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'configuration 12', 'configuration 12', 'listing 11', 'watch after 11'])
   })
 
@@ -75,19 +75,44 @@
   })
 
   test('writes its entry again when it was removed', async () => {
-    const { announced } = await watchStore([{ revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
+    const { announced } = await watchStore([{ era: 1, revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
     expect(announced).toBe(2)
   })
 
   test('logs size and time of large responses, and how many configurations they hold', async () => {
     const change: StoreChange = { kind: StoreChangeKind.Configuration, configuration: configuration() }
     const transfer = { bytes: 700_000, headMs: 3.4, totalMs: 611.2 }
-    const { lines } = await watchStore([{ revision: 12, changes: [change, change], transfer }, { revision: 13, changes: [change], transfer: { ...transfer, bytes: 2000 } }])
-    expect(lines).toEqual(['store.reached revision=10', 'store.transfer call=watch revision=12 configurations=2 bytes=700000 headMs=3 totalMs=611'])
+    const { lines } = await watchStore([{ era: 1, revision: 12, changes: [change, change], transfer }, { era: 1, revision: 13, changes: [change], transfer: { ...transfer, bytes: 2000 } }])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.transfer call=watch revision=12 configurations=2 bytes=700000 headMs=3 totalMs=611'])
+  })
+
+  // Guards against entries of a lost history that stay in force: a watch that waited while the store returned from a copy went on in the new era, without the changes before its revision.
+  test('reads a new listing when a watch call is answered in another era, also if its revisions have grown past the known one', async () => {
+    const { events, lines } = await watchStore([{ era: 2, revision: 99, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }], { eras: [1, 2] })
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'listing 11', 'watch after 11'])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.era-changed era=2 revision=11 eraBefore=1 revisionBefore=10'])
+  })
+
+  test('logs a change of the era once when the history is lost with it', async () => {
+    const { lines } = await watchStore([{ ...historyLost, era: 2 }, { ...historyLost, era: 2 }], { eras: [1, 2, 2] })
+    expect(lines.filter((line) => line.startsWith('store.era-changed'))).toEqual(['store.era-changed era=2 revision=11 eraBefore=1 revisionBefore=10'])
+  })
+
+  // Guards against a watch that goes on from a revision of a lost history after a short outage.
+  test('reads a new listing when a failed call is answered in another era', async () => {
+    const { events } = await watchStore([{ ...unreachable, era: 2 }], { eras: [1, 2] })
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'lost', 'listing 11', 'reached', 'watch after 11'])
+  })
+
+  // Guards against changes that are applied as those of a lost history because their answer names no era, or a malformed one.
+  test('applies no answer of an older era', async () => {
+    const { events, lines } = await watchStore([{ era: 0, revision: 12, changes: [{ kind: StoreChangeKind.BackendRemoved, id: 'b' }] }])
+    expect(events).toEqual(['listing 10', 'reached', 'watch after 10', 'lost', 'watch after 10'])
+    expect(lines.at(-1)).toBe('store.lost era=1 revision=10 detail=answer of era 0 after era 1')
   })
 
   test('logs one line when the store is lost and one when it is reached again', async () => {
-    const { lines } = await watchStore([unreachable, unreachable, { revision: 12, changes: [] }])
-    expect(lines).toEqual(['store.reached revision=10', 'store.lost revision=10 detail=down', 'store.reached revision=12'])
+    const { lines } = await watchStore([unreachable, unreachable, { era: 1, revision: 12, changes: [] }])
+    expect(lines).toEqual(['store.reached era=1 revision=10', 'store.lost era=1 revision=10 detail=down', 'store.reached era=1 revision=12'])
   })
 })
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -3,7 +3,8 @@
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { StoreWatcher } from '../../src/gateway/store-watcher.js'
-import { StoreChangeKind } from '../../src/gateway/platform-store.js'
+import { StoreChangeKind, StoreErrorKind } from '../../src/gateway/platform-store.js'
+import { createJsonServer, listen } from '../../src/standin/json-server.js'
 import { configurationKey, platformConfiguration, platformServer } from '../../src/standin/platform-entries.js'
 import { RunnerStage } from '../../src/standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../../src/standin/platform-store-standin.js'
@@ -71,6 +72,47 @@
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
 
+describe('StoreClient and StoreWatcher of a store that returns from a copy', () => {
+  // Guards against an instance that new ones never learn of, and against changes that it never learns of, after the store has lost what it acknowledged.
+  test.each([
+    ['has fewer revisions than before', 0],
+    ['has given out its revisions again', 8]
+  ])('write the entry of the instance again and read what the operator writes, when the store %s', async (_name, rewrites) => {
+    const { store, newest, write } = await watchOverSlowLink()
+    const copy = store.copy()
+    while (newest() < 1 || !store.has('daisybarrow/instances/10.0.0.1')) await delay(20)
+    write(2, 1)
+    while (newest() < 2) await delay(20)
+    store.restore(copy)
+    for (let index = 0; index < rewrites; index += 1) store.put(`servers/other${index}`, {})
+    write(3, 1)
+    await delay(APPLY_MS)
+    expect([newest(), store.has('daisybarrow/instances/10.0.0.1')]).toEqual([3, true])
+  })
+})
+
+describe('StoreClient', () => {
+  // Guards against a listing whose first entries are of a lost history and whose others are not.
+  test('returns no listing whose pages are of different eras', async () => {
+    let calls = 0
+    const server = createJsonServer({
+      'GET /v1/kv-range': ({ query, response }) => {
+        calls += 1
+        const isFirstPage = query.get('after') === null
+        response.setHeader('store-era', calls === 1 ? 7 : 8)
+        return { items: [{ Key: `daisybarrow/instances/${isFirstPage ? '10.0.0.1' : '10.0.0.2'}`, Value: '', Revision: 1 }], HasMore: isFirstPage, At: calls === 1 ? 60 : 30 }
+      }
+    })
+    cleanups.push(() => {
+      server.closeAllConnections()
+      server.close()
+    })
+    const client = new StoreClient({ address: `127.0.0.1:${await listen(server, '127.0.0.1', 0)}` })
+    expect(await client.list()).toEqual({ kind: StoreErrorKind.Unreachable, detail: 'era 8 after a page of era 7', era: 8 })
+    expect(await client.list()).toMatchObject({ era: 8, revision: 30, changes: [{ ip: '10.0.0.1' }, { ip: '10.0.0.2' }] })
+  })
+})
+
 describe('StoreClient and StoreWatcher behind a slow link', () => {
   // Guards against an instance that never catches up after an outage, because the changes that it missed outgrow the timeout of a watch call.
   test('have the newest configuration soon after an outage during which many were written', async () => {
