Send nothing to a server that has said in an answer that it leaves

Cause: the header was read nowhere; only an entry of the store made a server leave.

Change: the client of the backend servers reads the header at the head of every answer (and of control requests, before their body). LeavingNotices decides by incarnation, beside the table of servers, which asks it in `ready` and `accepts`, so that an entry that is or becomes ready changes nothing and a restart ends it. LeavingSharing tells all instances at once and with each heartbeat; the word of another instance is believed once, for an incarnation in the table and for 60 s. Orders are written only once they are connected, after the same check. Any value other than `1` is logged.

Log: server.said-leaving, leaving.unreadable, order.withheld; send.stale has state=said-leaving. Metric: daisybarrow_gateway_leaving_servers.

--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -7,6 +7,8 @@
   /** Address of the prefill runner. */
   address: string
   handle: string
+  /** The prefill runner; undefined if it is not known. */
+  server?: BackendServer
 }
 
 /** Options for sending a caller's request to one server. */
@@ -50,6 +52,8 @@
   fencingToken: number
   /** Number of orders that the runner must have accepted before this one. It refuses the order at any other number, so that a delayed order does not override a newer one. */
   expectedOrdersAccepted: number
+  /** Asked just before the order is written; if it returns false, the order is not sent. */
+  maySend?: () => boolean
 }
 
 /** State of a runner's role orders, as the runner reports it with a delay of some hundred milliseconds. */
@@ -64,6 +68,8 @@
 
 /** Client of the backend servers. */
 export interface BackendClient {
+  /** Called as soon as the head of any answer says that its server leaves. `byOther` is true if the answer may come from another server at the same address. */
+  onLeaving: (backend: BackendServer, byOther: boolean) => void
   send: (options: SendOptions) => Exchange
   classifyResponse: (options: SendOptions, head: ResponseHead) => ResponseMeaning
   /** Requests per second that the server takes from all instances together, as its response names it; null if it names none, undefined if what it names is malformed. */
--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -40,6 +40,8 @@
 /** Why a server should get no new requests. */
 export enum Staleness {
   Leaving = 'leaving',
+  /** It has said so in an answer; its entry is still ready. */
+  SaidLeaving = 'said-leaving',
   /** Its entry has disappeared around an outage of the store. */
   Missing = 'missing',
   Removed = 'removed',
@@ -56,6 +58,8 @@
   nowMs: () => number
   /** Time for which a server still takes requests after it has said that it leaves, in milliseconds. */
   drainMs?: () => number
+  /** Whether the server has said in an answer that it leaves. */
+  hasSaidLeaving?: (backend: BackendServer) => boolean
   /** Called for each change of the table. */
   onChange?: (change: BackendChange) => void
 }
@@ -63,14 +67,14 @@
 /** The backend servers and whether they may get new requests. */
 export class BackendTable {
   readonly #entries = new Map<string, BackendEntry>()
-  readonly #options: BackendTableOptions & Required<Pick<BackendTableOptions, 'drainMs'>>
+  readonly #options: BackendTableOptions & Required<Pick<BackendTableOptions, 'drainMs' | 'hasSaidLeaving'>>
   /** Number of changes so far; the same number means the same servers. */
   changeCount = 0
   /** Time until which a missing entry may be caused by an outage of the store, in milliseconds. */
   #graceUntilMs = -Infinity
 
   constructor (options: BackendTableOptions) {
-    this.#options = { drainMs: () => DEFAULT_DRAIN_MS, ...options }
+    this.#options = { drainMs: () => DEFAULT_DRAIN_MS, hasSaidLeaving: () => false, ...options }
   }
 
   /** Called when the store can't be reached or has just become reachable: ready servers whose entries disappear within REREGISTRATION_GRACE_MS from now are kept, because they may register again. */
@@ -159,7 +163,7 @@
 
   /** Servers of a service that may get new requests. */
   ready (service: string, stage: RunnerRole = RunnerRole.None): BackendServer[] {
-    const candidates = [...this.#entries.values()].filter(({ backend }) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready)
+    const candidates = [...this.#entries.values()].filter(({ backend }) => backend.service === service && backend.stage === stage && backend.state === ServerState.Ready && !this.#options.hasSaidLeaving(backend))
     const drainMs = this.#options.drainMs()
     const usable = candidates.filter((entry) => this.#missingMs(entry) < MISSING_USE_SHARE * drainMs)
     const chosen = usable.length > 0 ? usable : candidates.filter((entry) => this.#missingMs(entry) < LAST_RESORT_SHARE * drainMs)
@@ -170,6 +174,7 @@
   accepts (backend: BackendServer): boolean {
     const entry = this.#entries.get(backend.id)
     if (entry === undefined || entry.backend.state !== ServerState.Ready || incarnationOf(entry.backend) !== incarnationOf(backend)) return false
+    if (this.#options.hasSaidLeaving(backend)) return false
     return this.#missingMs(entry) < LAST_RESORT_SHARE * this.#options.drainMs()
   }
 
@@ -179,6 +184,7 @@
     if (entry === undefined) return Staleness.Removed
     if (incarnationOf(entry.backend) !== incarnationOf(backend)) return Staleness.Restarted
     if (entry.backend.state === ServerState.Leaving) return Staleness.Leaving
+    if (this.#options.hasSaidLeaving(backend)) return Staleness.SaidLeaving
     return entry.missingSinceMs === null ? null : Staleness.Missing
   }
 
--- a/src/gateway/control-request.ts
+++ b/src/gateway/control-request.ts
@@ -27,8 +27,15 @@
   maxBytes?: number
   /** Agent that reuses connections; without it, each request opens a new connection. */
   agent?: Agent
+  /** Asked on the established connection, just before the request is written; if it returns false, the request fails with a `WithheldError`. Only for a request that opens a new connection. */
+  maySend?: () => boolean
+  /** Called with the status and headers before the body has been read. */
+  onHead?: (head: Pick<ControlResponse, 'status' | 'headers'>) => void
 }
 
+/** A request that was not written because `maySend` returned false. */
+export class WithheldError extends Error {}
+
 /** Size and timing of a received response. */
 export interface Transfer {
   bytes: number
@@ -76,7 +83,7 @@
 }
 
 /** Sends a small request to the store, a runner or a peer and reads the complete response, whatever its status. Rejects on connection errors and on timeout. */
-export function sendControlRequest ({ address, method, target, headers = {}, body, timeoutMs, transferLimits, maxBytes = MAX_RESPONSE_BYTES, agent }: ControlRequest): Promise<ControlResponse> {
+export function sendControlRequest ({ address, method, target, headers = {}, body, timeoutMs, transferLimits, maxBytes = MAX_RESPONSE_BYTES, agent, maySend, onHead }: ControlRequest): Promise<ControlResponse> {
   return new Promise((resolve, reject) => {
     const startedMs = performance.now()
     let headMs: number | null = null
@@ -104,6 +111,7 @@
     request.on('response', (response) => {
       const chunks: Buffer[] = []
       headMs = performance.now() - startedMs
+      onHead?.({ status: response.statusCode ?? 0, headers: response.headers })
       timeouts.markProgress()
       response.on('data', (chunk: Buffer) => {
         timeouts.markProgress()
@@ -118,6 +126,11 @@
         resolve({ status: response.statusCode ?? 0, headers: response.headers, bytes: Buffer.concat(chunks), transfer })
       })
     })
-    request.end(payload ?? undefined)
+    const write = (): void => { request.end(payload ?? undefined) }
+    if (maySend === undefined) return write()
+    request.on('socket', (socket) => socket.once('connect', () => {
+      if (maySend()) write()
+      else request.destroy(new WithheldError('withheld: the server takes no requests'))
+    }))
   })
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -21,8 +21,9 @@
   readonly staleSends: Counter
   readonly limitedSends: Counter
   readonly limitedServers: Gauge
+  readonly leavingServers: Gauge
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -54,6 +55,12 @@
       registers,
       collect () { this.set(options.limitedServers?.() ?? 0) }
     })
+    this.leavingServers = new Gauge({
+      name: 'daisybarrow_gateway_leaving_servers',
+      help: 'Servers that have said in their answers that they leave',
+      registers,
+      collect () { this.set(options.leavingServers?.() ?? 0) }
+    })
     this.processorSeconds = new Counter({
       name: 'process_cpu_seconds_total',
       help: 'Processor time spent in seconds',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -26,6 +26,7 @@
 import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
 import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
+import { LeavingSharing } from './leaving-sharing.js'
 import { LimitSharing } from './limit-sharing.js'
 import { ReportExchange } from './report-exchange.js'
 
@@ -69,6 +70,7 @@
   readonly quarantine: PromptQuarantine
   readonly #suspectExchange: ReportExchange<SuspectReport>
   readonly limitSharing: LimitSharing
+  readonly leavingSharing: LeavingSharing
   readonly #pendingRequests = new Set<PendingRequest>()
   /** Names of the services that this instance coordinates. */
   readonly #coordinatedServices = new Set<string>()
@@ -91,11 +93,12 @@
     this.#options = options
     const { settings, nowMs, log } = options
     this.#startedMs = nowMs()
-    this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, onChange: (change) => this.#onBackendChange(change) })
+    this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, hasSaidLeaving: (backend) => this.leavingSharing.notices.includes(backend), onChange: (change) => this.#onBackendChange(change) })
     this.instances = new InstanceTable({ ip: settings.ip, nowMs, processorShare: settings.processor.share * settings.processor.speed, random: options.random })
     for (const ip of settings.seeds) this.instances.addAddress(ip)
     this.#health = new ServerHealth({ nowMs })
     this.#configurationLag = new ConfigurationLag({ nowMs, log })
+    this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.#roleRebalancer.isChanging(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting() })
@@ -124,13 +127,7 @@
       nowMs
     })
     this.quarantine = new PromptQuarantine({ nowMs, log, onChange: () => this.#suspectExchange.markChanged() })
-    this.#suspectExchange = new ReportExchange({
-      reports: () => this.quarantine.reports(),
-      reminders: () => this.quarantine.activeReports(),
-      perMessage: SUSPECTS_PER_MESSAGE,
-      message: (suspects) => ({ kind: PeerDatagramKind.Suspects, suspects }),
-      send: options.send
-    })
+    this.#suspectExchange = this.#createSuspectExchange()
     this.#forwardingContext = {
       backends: this.backends,
       backendClient: options.backendClient,
@@ -148,6 +145,16 @@
     }
   }
 
+  #createSuspectExchange (): ReportExchange<SuspectReport> {
+    return new ReportExchange({
+      reports: () => this.quarantine.reports(),
+      reminders: () => this.quarantine.activeReports(),
+      perMessage: SUSPECTS_PER_MESSAGE,
+      message: (suspects) => ({ kind: PeerDatagramKind.Suspects, suspects }),
+      send: this.#options.send
+    })
+  }
+
   get ready (): boolean {
     const listening = this.#options.nowMs() - this.#startedMs < STARTUP_LISTEN_MS + this.instances.propagationMs()
     return this.#routes !== null && this.#hasListing && !this.#stopping && !listening
@@ -272,6 +279,7 @@
     this.#options.send(targets, message)
     this.#suspectExchange.sendReminder(targets)
     this.limitSharing.sendReminder(targets)
+    this.leavingSharing.sendReminder(targets)
   }
 
   /** Removes servers that have been missing for too long, updates which services this instance coordinates, rebalances the runner roles of these services and runs a scheduling pass. */
@@ -299,7 +307,7 @@
       return
     }
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.limitSharing.handleDatagram(from, message)) return
+    if (this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
     if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
@@ -366,6 +374,7 @@
       instances: this.instances.live(),
       suspects: this.quarantine.reports(),
       limits: this.limitSharing.limits.reports(),
+      leaving: this.leavingSharing.notices.reports(),
       desk: this.#scheduler.dump()
     }
   }
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -26,6 +26,8 @@
   Suspects = 'suspects',
   /** Tells of the limits that servers name. */
   Limits = 'limits',
+  /** Tells of servers that have said in their answers that they leave. */
+  Leaving = 'leaving',
   /** Requests a permit for one send to a server with a limit from the instance that keeps it. */
   Admit = 'admit',
   /** Answers a request for a permit. */
@@ -73,6 +75,7 @@
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Failed), server: z.string() }),
   z.object({ kind: z.literal(PeerDatagramKind.Limits), limits: z.array(limitReportSchema) }),
+  z.object({ kind: z.literal(PeerDatagramKind.Leaving), servers: z.array(z.object({ server: z.string(), ageMs: z.number() })) }),
   z.object({ kind: z.literal(PeerDatagramKind.Admit), id: z.string(), server: z.string(), report: limitReportSchema }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
   z.object({
--- a/src/gateway/role-rebalancer.ts
+++ b/src/gateway/role-rebalancer.ts
@@ -89,13 +89,13 @@
   }
 
   async #orderRoleChange (service: string, backend: BackendServer, role: RunnerRole.Prefill | RunnerRole.Decode, mix: RequestMix): Promise<void> {
-    const { tokenIssuer, backendClient, holder, log, nowMs } = this.#options
+    const { backends, tokenIssuer, backendClient, holder, log, nowMs } = this.#options
     const state = await backendClient.readRunnerState(backend)
     if (state === null || state.orderInProgress) return
     const fencingToken = await tokenIssuer.acquire(service, backend.id)
     if (fencingToken === null) return
     this.#changing.set(backend.id, { role, untilMs: nowMs() + ORDER_TIMEOUT_MS })
-    const outcome = await backendClient.sendOrder({ backend, role, holder, fencingToken, expectedOrdersAccepted: state.ordersAccepted })
+    const outcome = await backendClient.sendOrder({ backend, role, holder, fencingToken, expectedOrdersAccepted: state.ordersAccepted, maySend: () => backends.accepts(backend) })
     log.info('role.ordered', {
       server: backend.id,
       service,
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -124,6 +124,8 @@
     return { head: Promise.resolve(this.#headOf(reaction)), cancel }
   }
 
+  onLeaving: BackendClient['onLeaving'] = () => {}
+
   classifyResponse (_options: SendOptions, head: ResponseHead): ResponseMeaning {
     return this.#meanings.get(head.message) ?? ResponseMeaning.Answer
   }
