Refuse a model request at once if all known decode runners leave

What callers saw: nothing yet; found while reading.

Cause: when the last decode runner of a service leaves and the coordinator has not heard of it, it goes on placing the request there. Each placement comes back unsent, which consumes no retry, so that the request is placed again without pause, with one message more for each earlier placement.

Evidence: the new test (a placer that names the leaving runner 50 times) is refused only after all 50 before the change: it has the placer's retryAfterMs=100.

Change: before it asks for a placement, an instance that knows no ready decode runner refuses the request as not run, with Retry-After.

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -1,4 +1,4 @@
-import type { BackendServer } from './backend.js'
+import { type BackendServer, RunnerRole } from './backend.js'
 import type { KvCacheHandle } from './backend-client.js'
 import { EventSplitter } from './event-splitter.js'
 import { ExchangeOutcome, mayRunTwice, provesNotRun } from './exchange-outcome.js'
@@ -80,7 +80,7 @@
     pending.whenEnded(() => this.#prefill.freeUnused())
     for (;;) {
       if (this.#refuseIfQuarantined()) return
-      const decision = await placer.place(pending, this.#excluded)
+      const decision = this.#refusalBeforePlacement() ?? await placer.place(pending, this.#excluded)
       if (pending.ended || this.#refuseIfQuarantined()) return
       if ('refusal' in decision) return this.#refuseUnplaced(decision)
       const outcome = await this.#attempt(decision)
@@ -90,6 +90,12 @@
     refuseUnanswered(pending, this.#retryAfterMs())
   }
 
+  /** The refusal of a request that can't be placed, as far as this instance knows. Until the coordinator has heard that the last runner leaves, it would place the request there again and again. */
+  #refusalBeforePlacement (): RefusedPlacement | null {
+    if (this.#context.backends.ready(this.#pending.service, RunnerRole.Decode).length > 0) return null
+    return { refusal: PlacementRefusal.NoRunner, retryAfterMs: RETRY_AFTER_MS, waiting: 0, runs: 0 }
+  }
+
   #refuseUnplaced (decision: RefusedPlacement): void {
     const pending = this.#pending
     this.#context.log.info('placement.refused', {
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -132,6 +132,21 @@
     expect(run.backendClient.freed).toEqual([])
   })
 
+  // Guards against a request that is placed again and again on a runner that leaves, until the coordinator has heard of it.
+  test('is refused at once when this instance knows that all decode runners leave, though the coordinator does not', async () => {
+    const run = startForwarding({
+      placements: Array.from({ length: 50 }, () => ({ prefill: 'p1', decode: 'd1' })),
+      respond: () => {
+        for (const id of ['d1', 'd2']) run.backends.put(backend({ id, service: 'model', stage: RunnerRole.Decode, state: ServerState.Leaving }))
+        return { parts: ['h1'] }
+      }
+    })
+    await run.done
+    expect(run.responder).toMatchObject({ ending: 'refused', refusal: 'overloaded' })
+    // A placement request would have been answered with another time.
+    expect(run.log.lines.filter((line) => line.startsWith('placement.refused'))).toEqual([expect.stringMatching(/reason=no-runner .*retryAfterMs=1500/)])
+  })
+
   test('frees the KV cache of the prompt when no other runner can take it over', async () => {
     const run = startForwarding({
       placements: [{ prefill: 'p1', decode: 'd1' }],
