Leave a server alone for as long as its 503 says in Retry-After

Cause: Retry-After of a server was read nowhere. A rejection only raised the failure share of the server and made the coordinator avoid a runner for 1.5 s, for all instances.

Change: ServerPauses decides for this instance, by incarnation. Checked at the choice, before a prefill, and just before a request or an order is written; no KV cache is freed there meanwhile, and a silent stream is not moved there. A placement request names the pauses of its instance with the time left; the coordinator uses other runners for it and these for the others. It is not told of a failure any more if the rejection named a time. If all servers have turned the instance away: refusal `paused`, 503, with the shortest time left.

Metrics: daisybarrow_gateway_paused_servers, daisybarrow_gateway_paused_sends_total.

--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -70,6 +70,8 @@
 export interface BackendClient {
   /** Called as soon as the head of any answer says that its server leaves. `byOther` is true if the answer may come from another server at the same address. */
   onLeaving: (backend: BackendServer, byOther: boolean) => void
+  /** Called as soon as the head of a 503 says for how long its server wants nothing from this instance, in milliseconds. */
+  onPause: (backend: BackendServer, retryAfterMs: number) => void
   send: (options: SendOptions) => Exchange
   classifyResponse: (options: SendOptions, head: ResponseHead) => ResponseMeaning
   /** Requests per second that the server takes from all instances together, as its response names it; null if it names none, undefined if what it names is malformed. */
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -1,6 +1,6 @@
 import type { Log } from '../logs/log.js'
 import type { BackendServer } from './backend.js'
-import { type BackendClient, type SendOptions, ResponseMeaning } from './backend-client.js'
+import { type BackendClient, type KvCacheHandle, type SendOptions, ResponseMeaning } from './backend-client.js'
 import type { BackendTable } from './backend-table.js'
 import { countsAsAttempt, ExchangeOutcome, provesNotRun, mayTryOtherServer } from './exchange-outcome.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
@@ -11,6 +11,7 @@
 import { GatewayRefusal } from './refusal.js'
 import type { RetryBudget } from './retry-budget.js'
 import type { ServerHealth } from './server-health.js'
+import type { ServerPauses } from './server-pauses.js'
 
 /** Lowest HTTP status that is not a success. */
 export const FIRST_UNSUCCESSFUL_STATUS = 300
@@ -26,9 +27,10 @@
   retryBudget: RetryBudget
   failureDomain: string
   log: Log
-  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends'>
+  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends' | 'pausedSends'>
   limits: ServerLimits
   limitClient: LimitClient
+  pauses: ServerPauses
   nowMs: () => number
   random: () => number
 }
@@ -77,9 +79,20 @@
   limits.observe(backend, statedPerS, sentMs)
 }
 
-/** Takes a permit for one send to a server. Returns null if the request may be sent, or else the time after which the server may take another one, in milliseconds. */
-export async function limitWaitMs (context: ForwardingContext, pending: PendingRequest, backend: BackendServer): Promise<number | null> {
+/** Takes a place after a pause of the server. Returns null if the request may be sent, or else the time after which one may, in milliseconds. */
+export function pauseWaitMs ({ pauses, log, metrics }: ForwardingContext, pending: PendingRequest, backend: BackendServer): number | null {
+  if (pauses.tryTake(backend)) return null
+  const leftMs = pauses.waitMs(backend)
+  metrics.pausedSends.inc()
+  log.info('send.paused', { request: pending.request.id, route: pending.route.name, server: backend.id, leftMs: Math.round(leftMs), ageMs: Math.round(pending.ageMs()) })
+  return leftMs
+}
+
+/** Takes a place after a pause and a permit for one send to a server. Returns null if the request may be sent, or else the time after which the server may take another one, in milliseconds. */
+export async function sendWaitMs (context: ForwardingContext, pending: PendingRequest, backend: BackendServer): Promise<number | null> {
   const { limitClient, limits, log, metrics } = context
+  const pauseMs = pauseWaitMs(context, pending, backend)
+  if (pauseMs !== null) return pauseMs
   if (!limitClient.isLimited(backend)) return null
   const { admitted, waitMs } = await limitClient.acquire(backend)
   if (admitted || pending.ended) return null
@@ -88,8 +101,13 @@
   return waitMs
 }
 
-/** Whether the server still accepts requests: it may have left since it was chosen, during the prefill or while the connection was established. */
-function maySend ({ backends, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): boolean {
+/** Whether the server still accepts requests: it may have left or turned this instance away since it was chosen, during the prefill or while the connection was established. */
+function maySend ({ backends, pauses, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): boolean {
+  if (pauses.isPaused(backend)) {
+    metrics.pausedSends.inc()
+    log.info('send.paused', { request: pending.request.id, route: pending.route.name, server: backend.id, leftMs: Math.round(pauses.waitMs(backend)), ageMs: Math.round(pending.ageMs()) })
+    return false
+  }
   if (backends.accepts(backend)) return true
   metrics.staleSends.inc()
   log.warn('send.stale', { request: pending.request.id, route: pending.route.name, server: backend.id, prefill: prefillOnly === true, state: backends.staleness(backend) ?? 'ready', ageMs: Math.round(pending.ageMs()) })
@@ -137,10 +155,16 @@
   pending.refuse(pending.sentTo.size > 0 ? GatewayRefusal.Rejected : GatewayRefusal.NoServer, retryAfterMs)
 }
 
-/** Refuses a request that was sent to no server because their limits were used up, or that failed on the others. */
-export function refuseLimited (pending: PendingRequest, retryAfterMs: number): void {
+/** Refuses a request that was sent to no server because their limits were used up or they had turned this instance away, or that failed on the others. */
+export function refuseWithheld (pending: PendingRequest, refusal: GatewayRefusal.RateLimited | GatewayRefusal.Paused, retryAfterMs: number): void {
   if (pending.mayHaveRun || pending.remainingMs() <= 0) return refuseUnanswered(pending, retryAfterMs)
-  pending.refuse(GatewayRefusal.RateLimited, retryAfterMs)
+  pending.refuse(refusal, retryAfterMs)
+}
+
+/** Frees the KV cache of a prompt, unless its runner wants no requests; then it evicts the cache by itself. */
+export function freeKvCache ({ backendClient, pauses, log }: ForwardingContext, kvCache: KvCacheHandle): void {
+  if (kvCache.server === undefined || !pauses.isPaused(kvCache.server)) backendClient.freeKvCache(kvCache)
+  else log.debug('prompt.free-withheld', { server: kvCache.server.id })
 }
 
 /** Refuses a request that has timed out, or that runs when the process is about to exit. If `sending` is true, a server has not responded completely yet and may have run the request. */
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -22,8 +22,10 @@
   readonly limitedSends: Counter
   readonly limitedServers: Gauge
   readonly leavingServers: Gauge
+  readonly pausedSends: Counter
+  readonly pausedServers: Gauge
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -61,6 +63,13 @@
       registers,
       collect () { this.set(options.leavingServers?.() ?? 0) }
     })
+    this.pausedSends = new Counter({ name: 'daisybarrow_gateway_paused_sends_total', help: 'Sends withheld because the server had turned this instance away for a time', registers })
+    this.pausedServers = new Gauge({
+      name: 'daisybarrow_gateway_paused_servers',
+      help: 'Servers that have turned this instance away for a time',
+      registers,
+      collect () { this.set(options.pausedServers?.() ?? 0) }
+    })
     this.processorSeconds = new Counter({
       name: 'process_cpu_seconds_total',
       help: 'Processor time spent in seconds',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,6 +22,7 @@
 import { RoleRebalancer } from './role-rebalancer.js'
 import { chooseService, RouteTable } from './route-table.js'
 import { ServerHealth } from './server-health.js'
+import { ServerPauses } from './server-pauses.js'
 import { applySettings } from './settings-reload.js'
 import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
 import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
@@ -71,6 +72,8 @@
   readonly #suspectExchange: ReportExchange<SuspectReport>
   readonly limitSharing: LimitSharing
   readonly leavingSharing: LeavingSharing
+  /** Servers that have turned this instance away for a time. */
+  readonly pauses: ServerPauses
   readonly #pendingRequests = new Set<PendingRequest>()
   /** Names of the services that this instance coordinates. */
   readonly #coordinatedServices = new Set<string>()
@@ -98,6 +101,8 @@
     for (const ip of settings.seeds) this.instances.addAddress(ip)
     this.#health = new ServerHealth({ nowMs })
     this.#configurationLag = new ConfigurationLag({ nowMs, log })
+    this.pauses = new ServerPauses({ nowMs, random: options.random, log })
+    options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
@@ -110,6 +115,7 @@
       holder: settings.id,
       requestMix: (service) => this.#scheduler.requestMix(service),
       load: (backend) => this.#scheduler.load(backend),
+      isPaused: (backend) => this.pauses.isPaused(backend),
       log,
       nowMs
     })
@@ -121,6 +127,7 @@
       scheduler: this.#scheduler,
       localScheduler: this.#localScheduler,
       engine,
+      pauses: (service) => this.pauses.list(this.backends.all().filter((backend) => backend.service === service)),
       canCoordinate: () => !this.#stopping,
       send: (ip, message) => options.send([ip], message),
       log,
@@ -140,6 +147,7 @@
       metrics: options.metrics,
       limits: this.limitSharing.limits,
       limitClient: this.limitSharing.client,
+      pauses: this.pauses,
       placer: this.#placementClient,
       quarantine: this.quarantine
     }
@@ -375,6 +383,7 @@
       suspects: this.quarantine.reports(),
       limits: this.limitSharing.limits.reports(),
       leaving: this.leavingSharing.notices.reports(),
+      pauses: this.pauses.list(this.backends.all()),
       desk: this.#scheduler.dump()
     }
   }
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -190,7 +190,7 @@
       socket.on('error', markReset)
       request.on('close', () => socket.removeListener('error', markReset))
       if (maySend?.() === false) {
-        settle({ outcome: ExchangeOutcome.NotSent, detail: 'withheld: the server has left' })
+        settle({ outcome: ExchangeOutcome.NotSent, detail: 'withheld: the server takes no requests' })
         request.destroy()
         return
       }
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -61,7 +61,9 @@
       output: outputLengthSchema,
       promptId: z.string().nullable(),
       objectiveLeftMs: z.number(),
-      patienceMs: z.number()
+      patienceMs: z.number(),
+      // Instances of older versions name none.
+      pauses: z.array(z.object({ server: z.string(), leftMs: z.number() })).default([])
     })
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Placed), id: z.string(), prefill: z.string().nullable(), decode: z.string() }),
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -6,6 +6,7 @@
 import type { AlternativePlacement, Placer } from './placer.js'
 import { type Placement, type PlacementRequest, PlacementRefusal, type RefusedPlacement, type RunProgress } from './placement.js'
 import { type PlacementScheduler } from './placement-scheduler.js'
+import type { RunnerPause } from './server-pauses.js'
 
 /** Time without an answer from the coordinator after which a placement request is sent again, in milliseconds; an answer usually takes a few milliseconds. */
 const RESEND_MS = 70
@@ -108,6 +109,8 @@
   /** Places only the requests of this instance, when no coordinator answers. */
   localScheduler: PlacementScheduler
   engine: (service: string) => EngineConfiguration | null
+  /** The runners of a service that have turned this instance away. */
+  pauses: (service: string) => RunnerPause[]
   /** Whether this instance may coordinate services itself. */
   canCoordinate: () => boolean
   send: (ip: string, message: PeerDatagram) => void
@@ -231,7 +234,8 @@
       output: { estimateTokens: parameters?.estimatedOutputTokens ?? null, maxTokens: parameters?.maxOutputTokens ?? 0 },
       promptId: parameters?.promptId ?? null,
       objectiveLeftMs: route.targetLatencyMs - pending.ageMs(),
-      patienceMs: Math.min(MAX_WAIT_SHARE_OF_GIVE_UP_TIME * giveUpMs(route) - FIRST_EVENT_RESERVE_MS, MAX_WAIT_SHARE_OF_REMAINING_TIME * pending.remainingMs())
+      patienceMs: Math.min(MAX_WAIT_SHARE_OF_GIVE_UP_TIME * giveUpMs(route) - FIRST_EVENT_RESERVE_MS, MAX_WAIT_SHARE_OF_REMAINING_TIME * pending.remainingMs()),
+      pauses: this.#options.pauses(service)
     }
   }
 
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -6,7 +6,7 @@
 import { type DecisionCallback, type Placement, PlacementRefusal, type PlacementRequest, type RefusedPlacement, type RunProgress } from './placement.js'
 import { RefusedPrompts } from './refused-prompts.js'
 import type { RequestMix } from './role-balance.js'
-import { RunnerPool } from './runner-pool.js'
+import { type RunnerFilter, RunnerPool } from './runner-pool.js'
 
 /** Share of a decode runner's memory that forecast usage may fill; the rest absorbs runs longer than expected. */
 export const MEMORY_FILL_SHARE = 0.97
@@ -89,6 +89,8 @@
   objectiveMs: number
   /** Time at which the request is refused if it still waits, in milliseconds. */
   expiresMs: number
+  /** By id of a runner, until when the requesting instance may not use it, in milliseconds. */
+  pausedUntilMs: Map<string, number>
 }
 
 /** Permits for sends to runners that limit their requests. */
@@ -163,7 +165,7 @@
     }
     this.#recordRequest(request)
     const firstRequestedMs = this.#refusedPrompts.firstRequestedMs(request.promptId) ?? nowMs
-    this.#waiting.set(request.id, { request, onDecision, arrivedMs: nowMs, firstRequestedMs, objectiveMs: firstRequestedMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs })
+    this.#waiting.set(request.id, { request, onDecision, arrivedMs: nowMs, firstRequestedMs, objectiveMs: firstRequestedMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs, pausedUntilMs: new Map(request.pauses.map(({ server, leftMs }) => [server, nowMs + leftMs])) })
     this.placeWaiting()
     if (this.#waiting.has(request.id) && this.#exceedsLimits(request)) {
       this.#waiting.delete(request.id)
@@ -266,10 +268,12 @@
     if (pool === null) return
     const nowMs = this.#options.nowMs()
     const candidates = waitingRequests.map((waiting) => ({ waiting, onTime: canBeOnTime(waiting, pool, nowMs) }))
-    for (const { waiting: { request, onDecision }, onTime } of candidates.sort((a, b) => rankMs(a) - rankMs(b))) {
-      const run = this.#place(request, pool, onTime ? 1 : LATE_FILL_SHARE)
+    for (const { waiting: { request, onDecision, pausedUntilMs }, onTime } of candidates.sort((a, b) => rankMs(a) - rankMs(b))) {
+      const run = this.#place(request, pool, onTime ? 1 : LATE_FILL_SHARE, ({ id }) => (pausedUntilMs.get(id) ?? -Infinity) <= nowMs)
       // The pass stops at the first request that does not fit, so that smaller requests behind it cannot starve it.
       if (typeof run === 'string') {
+        // The runners that its instance may not use may have room for the requests of other instances.
+        if ([...pausedUntilMs.values()].some((untilMs) => untilMs > nowMs)) continue
         this.#shortages.set(service, run)
         return
       }
@@ -279,13 +283,13 @@
     }
   }
 
-  #place (request: PlacementRequest, pool: RunnerPool, fillShare: number): Run | Shortage {
+  #place (request: PlacementRequest, pool: RunnerPool, fillShare: number, mayUse: RunnerFilter): Run | Shortage {
     const { service, promptTokens, output } = request
     const memoryTokens = this.#options.engine(service)?.memoryTokens ?? 0
     const memory: RunMemory = { heldTokens: promptTokens, remainingTokens: expectedRemaining(output, 0) }
-    const decodeRunner = pool.chooseDecode(memory, memoryTokens * (this.#options.memoryFillShare?.() ?? MEMORY_FILL_SHARE) * fillShare)
+    const decodeRunner = pool.chooseDecode(memory, memoryTokens * (this.#options.memoryFillShare?.() ?? MEMORY_FILL_SHARE) * fillShare, mayUse)
     if (decodeRunner === null) return pool.hasExhaustedLimit ? PlacementRefusal.RateLimited : PlacementRefusal.NoMemory
-    const prefillRunner = pool.choosePrefill(decodeRunner.backend, PREFILL_BACKLOG_MS)
+    const prefillRunner = pool.choosePrefill(decodeRunner.backend, PREFILL_BACKLOG_MS, mayUse)
     if (prefillRunner === 'busy') return PlacementRefusal.PrefillBusy
     for (const runner of [decodeRunner, prefillRunner]) if (runner !== null) this.#options.permits?.tryTake(runner.backend)
     const prefillStartMs = pool.addRun(memory, decodeRunner, prefillRunner)
@@ -338,11 +342,15 @@
     return available.length > 0 ? available : ready
   }
 
-  /** The refusal of a request whose service has no decode runner or whose prompt fits in no runner's memory; null for any other. */
+  /** The refusal of a request whose service has no decode runner that its instance may use, or whose prompt fits in no runner's memory; null for any other. */
   #immediateRefusal (request: PlacementRequest): RefusedPlacement | null {
     const engine = this.#options.engine(request.service)
     if (engine === null || !this.#hasDecodeRunner(request.service)) return this.#refuse(PlacementRefusal.NoRunner)
     if (request.promptTokens >= engine.memoryTokens) return this.#refuse(PlacementRefusal.TooLarge)
+    if (request.pauses.length === 0) return null
+    const leftMsById = new Map(request.pauses.map(({ server, leftMs }) => [server, leftMs]))
+    const shortestPauseMs = Math.min(...this.#options.backends.ready(request.service, RunnerRole.Decode).map(({ id }) => leftMsById.get(id) ?? 0))
+    if (shortestPauseMs > 0) return { ...this.#refuse(PlacementRefusal.Paused), retryAfterMs: shortestPauseMs }
     return null
   }
 
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -1,4 +1,5 @@
 import type { OutputLength } from './output-length.js'
+import type { RunnerPause } from './server-pauses.js'
 
 /** A model request to be placed on a prefill runner and a decode runner. */
 export interface PlacementRequest {
@@ -13,6 +14,8 @@
   objectiveLeftMs: number
   /** Longest time that the request may wait in the scheduler before it is refused, in milliseconds. */
   patienceMs: number
+  /** Runners that have turned the requesting instance away; other instances may use them. */
+  pauses: RunnerPause[]
 }
 
 export interface Placement {
@@ -30,6 +33,8 @@
   NoMemory = 'no-memory',
   /** Every decode runner that could take the run has used up its limit of requests. */
   RateLimited = 'rate-limited',
+  /** Every decode runner has turned the requesting instance away for a time. */
+  Paused = 'paused',
   /** Decode memory was free, but no prefill runner could process the prompt in time. */
   PrefillBusy = 'prefill-busy',
   /** No coordinator answered. */
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,8 +1,9 @@
 import { type BackendServer, RunnerRole } from './backend.js'
 import { mayRunTwice, ExchangeOutcome } from './exchange-outcome.js'
-import { chargeAtTimeout, limitWaitMs, refuseLimited, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
+import { chargeAtTimeout, sendWaitMs, refuseWithheld, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
+import { GatewayRefusal } from './refusal.js'
 
 /** Largest response body of a plain service that is buffered, in bytes; typical bodies have a few kilobytes. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024
@@ -42,16 +43,16 @@
     else refuseAtTimeout(pending, sending)
   }
   const triedServers = new Set<string>()
-  /** Time until the limit of one of the servers allows another request, in milliseconds. */
-  let shortestLimitWaitMs = Infinity
+  /** Time until one of the servers may take another request, in milliseconds. */
+  let shortestWaitMs = Infinity
   for (;;) {
     const backend = chooseBackend(context, pending, triedServers)
     if (backend === undefined) break
     triedServers.add(backend.id)
-    const waitMs = await limitWaitMs(context, pending, backend)
+    const waitMs = await sendWaitMs(context, pending, backend)
     if (pending.ended) return
     if (waitMs !== null) {
-      shortestLimitWaitMs = Math.min(shortestLimitWaitMs, waitMs)
+      shortestWaitMs = Math.min(shortestWaitMs, waitMs)
       continue
     }
     sending = true
@@ -69,8 +70,10 @@
   }
   if (failedResponse !== null) return sendResponse(pending, failedResponse)
   const retryAfterMs = MIN_RETRY_AFTER_MS * (1 + context.random())
-  if (Number.isFinite(shortestLimitWaitMs)) refuseLimited(pending, shortestLimitWaitMs + retryAfterMs)
-  else refuseUnanswered(pending, retryAfterMs)
+  const pauseMs = context.pauses.shortestWaitMs(context.backends.ready(pending.service, RunnerRole.None))
+  if (pauseMs > 0 && pending.sentTo.size === 0) refuseWithheld(pending, GatewayRefusal.Paused, pauseMs + retryAfterMs)
+  else if (Number.isFinite(shortestWaitMs)) refuseWithheld(pending, GatewayRefusal.RateLimited, shortestWaitMs + retryAfterMs)
+  else refuseUnanswered(pending, pauseMs + retryAfterMs)
 }
 
 function sendResponse (pending: PendingRequest, { head, body }: CompleteResponse): void {
--- a/src/gateway/prompt-prefill.ts
+++ b/src/gateway/prompt-prefill.ts
@@ -1,7 +1,7 @@
 import type { BackendServer } from './backend.js'
 import type { KvCacheHandle } from './backend-client.js'
 import { ExchangeOutcome } from './exchange-outcome.js'
-import { type ForwardingContext, logFailedSend, refuseUnanswered, type SendResult, sendToServer } from './forwarding.js'
+import { type ForwardingContext, freeKvCache, logFailedSend, pauseWaitMs, refuseUnanswered, type SendResult, sendToServer } from './forwarding.js'
 import { readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 import type { Placement } from './placement.js'
@@ -69,7 +69,7 @@
 
   freeUnused (): void {
     if (this.#unusedKvCache === null) return
-    this.#context.backendClient.freeKvCache(this.#unusedKvCache)
+    freeKvCache(this.#context, this.#unusedKvCache)
     this.#unusedKvCache = null
   }
 
@@ -93,9 +93,9 @@
 
   /** Returns the KV cache, the result that failed, or null if nothing was sent or the request has ended. */
   async #requestPrefill (prefillServer: BackendServer): Promise<{ kvCache: KvCacheHandle } | SendResult | null> {
-    const { backendClient, placer, backends } = this.#context
+    const { backendClient, placer, backends, pauses } = this.#context
     const pending = this.#pending
-    if (!backends.accepts(prefillServer)) return null
+    if (!backends.accepts(prefillServer) || pauseWaitMs(this.#context, pending, prefillServer) !== null) return null
     const startedMs = this.#context.nowMs()
     const deadlineMs = pending.remainingMs()
     const result = await sendToServer(this.#context, pending, {
@@ -117,7 +117,8 @@
     if (pending.ended) return null
     if (result.outcome === ExchangeOutcome.Answered) this.#context.health.recordFailure(prefillServer, ExchangeOutcome.Broken)
     logFailedSend(this.#context, pending, prefillServer, result)
-    placer.recordRunnerFailure(pending.service, prefillServer.id)
+    // A pause concerns this instance only.
+    if (pauses.waitMs(prefillServer) === 0) placer.recordRunnerFailure(pending.service, prefillServer.id)
     return result
   }
 }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -12,6 +12,8 @@
   CrashingPrompt = 'crashing-prompt',
   /** Every server of the service has a limit, and all of them are used up. */
   RateLimited = 'rate-limited',
+  /** Every server of the service has turned this instance away for a time. */
+  Paused = 'paused',
   /** Every server that received the request rejected it without running it. */
   Rejected = 'rejected',
   /** This gateway instance is shutting down. */
@@ -34,6 +36,7 @@
   [GatewayRefusal.Overloaded]: 503,
   [GatewayRefusal.CrashingPrompt]: 503,
   [GatewayRefusal.RateLimited]: 503,
+  [GatewayRefusal.Paused]: 503,
   [GatewayRefusal.Rejected]: 503,
   [GatewayRefusal.Stopping]: 503,
   [GatewayRefusal.TimedOutBeforeRun]: 503,
--- a/src/gateway/role-rebalancer.ts
+++ b/src/gateway/role-rebalancer.ts
@@ -29,6 +29,8 @@
   requestMix: (service: string) => RequestMix | null
   /** Total tokens of the runs on a runner; the least loaded runner changes its role. */
   load: (backend: BackendServer) => number
+  /** Whether the runner has turned this instance away for a time. */
+  isPaused?: (backend: BackendServer) => boolean
   log: Log
   nowMs: () => number
 }
@@ -89,13 +91,14 @@
   }
 
   async #orderRoleChange (service: string, backend: BackendServer, role: RunnerRole.Prefill | RunnerRole.Decode, mix: RequestMix): Promise<void> {
-    const { backends, tokenIssuer, backendClient, holder, log, nowMs } = this.#options
+    const { backends, tokenIssuer, backendClient, holder, log, nowMs, isPaused = () => false } = this.#options
+    if (isPaused(backend)) return
     const state = await backendClient.readRunnerState(backend)
     if (state === null || state.orderInProgress) return
     const fencingToken = await tokenIssuer.acquire(service, backend.id)
     if (fencingToken === null) return
     this.#changing.set(backend.id, { role, untilMs: nowMs() + ORDER_TIMEOUT_MS })
-    const outcome = await backendClient.sendOrder({ backend, role, holder, fencingToken, expectedOrdersAccepted: state.ordersAccepted, maySend: () => backends.accepts(backend) })
+    const outcome = await backendClient.sendOrder({ backend, role, holder, fencingToken, expectedOrdersAccepted: state.ordersAccepted, maySend: () => backends.accepts(backend) && !isPaused(backend) })
     log.info('role.ordered', {
       server: backend.id,
       service,
--- a/src/gateway/runner-pool.ts
+++ b/src/gateway/runner-pool.ts
@@ -16,6 +16,9 @@
   runs: RunMemory[]
 }
 
+/** Whether the instance that requests a placement may use a runner. */
+export type RunnerFilter = (backend: BackendServer) => boolean
+
 interface RunnerPoolOptions {
   prefill: PrefillRunner[]
   decode: DecodeRunner[]
@@ -42,11 +45,11 @@
   }
 
   /** The decode runner with a free slot whose peak memory with the added run is lowest; null if each would exceed the limit or has no free slot. */
-  chooseDecode (added: RunMemory, limitTokens: number): DecodeRunner | null {
+  chooseDecode (added: RunMemory, limitTokens: number, mayUse: RunnerFilter = () => true): DecodeRunner | null {
     let best: DecodeRunner | null = null
     let lowestPeak = limitTokens
     for (const runner of this.#options.decode) {
-      if (runner.runs.length >= this.#options.slots || !this.#mayTake(runner)) continue
+      if (runner.runs.length >= this.#options.slots || !this.#mayTake(runner) || !mayUse(runner.backend)) continue
       // An empty runner accepts any run: one above the limit could otherwise never be placed.
       const peak = runner.runs.length === 0 ? 0 : peakMemory([...runner.runs, added])
       if (peak > lowestPeak) continue
@@ -56,12 +59,12 @@
     return best
   }
 
-  /** The prefill runner that becomes free first, preferably in the decode runner's failure domain; 'busy' if none is free within `maxWaitMs` milliseconds, null if there is none or their limits are used up. */
-  choosePrefill (decode: BackendServer, maxWaitMs: number): PrefillRunner | 'busy' | null {
+  /** The prefill runner that becomes free first, preferably in the decode runner's failure domain; 'busy' if none is free within `maxWaitMs` milliseconds, null if there is none that may be used. */
+  choosePrefill (decode: BackendServer, maxWaitMs: number, mayUse: RunnerFilter = () => true): PrefillRunner | 'busy' | null {
     const { prefill, nowMs } = this.#options
     const distance = ({ backend }: PrefillRunner): number => backend.failureDomain === decode.failureDomain ? 0 : 1
     const waitMs = ({ freeAtMs }: PrefillRunner): number => Math.max(0, freeAtMs - nowMs)
-    const first = prefill.filter((runner) => this.#mayTake(runner)).toSorted((a, b) => waitMs(a) - waitMs(b) || distance(a) - distance(b))[0]
+    const first = prefill.filter((runner) => this.#mayTake(runner) && mayUse(runner.backend)).toSorted((a, b) => waitMs(a) - waitMs(b) || distance(a) - distance(b))[0]
     if (first === undefined) return null
     return waitMs(first) > maxWaitMs ? 'busy' : first
   }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -2,7 +2,7 @@
 import type { KvCacheHandle } from './backend-client.js'
 import { EventSplitter } from './event-splitter.js'
 import { ExchangeOutcome, mayRunTwice, provesNotRun } from './exchange-outcome.js'
-import { chargeAtTimeout, FIRST_UNSUCCESSFUL_STATUS, limitWaitMs, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
+import { chargeAtTimeout, FIRST_UNSUCCESSFUL_STATUS, freeKvCache, pauseWaitMs, sendToServer, sendWaitMs, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 import type { PromptQuarantine, PromptStart } from './prompt-quarantine.js'
@@ -31,6 +31,9 @@
 /** Upper bound of the random part of `Retry-After`, in milliseconds, which keeps callers from retrying all at once. The fixed part has the same value unless a refused placement states one. */
 const RETRY_AFTER_MS = 1500
 
+/** Number of placements on runners that have turned this instance away after which a request is refused; a coordinator that knows of their pauses places it elsewhere. */
+const MAX_PAUSED_PLACEMENTS = 3
+
 /** Number of events after which a stream counts as started successfully; a prompt that crashes runners does so as they begin to answer it. */
 const EVENTS_OF_SUCCESSFUL_START = 3
 
@@ -40,6 +43,12 @@
   quarantine: PromptQuarantine
 }
 
+/** Refusals of placements that are told apart; any other one is an overload. */
+const gatewayRefusals: Partial<Record<PlacementRefusal, GatewayRefusal>> = {
+  [PlacementRefusal.RateLimited]: GatewayRefusal.RateLimited,
+  [PlacementRefusal.Paused]: GatewayRefusal.Paused
+}
+
 /** The runner to which a silent stream was moved, and its response. */
 interface Takeover {
   decodeServer: BackendServer
@@ -63,6 +72,8 @@
   /** When the response head or the last bytes of the stream arrived, in milliseconds. */
   #lastBytesMs = 0
   #takeover: Takeover | null = null
+  /** Number of placements on runners that have turned this instance away. */
+  #pausedPlacements = 0
   /** Ids of the decode runners that failed this request or lost it to another one. */
   readonly #excluded: string[] = []
 
@@ -80,20 +91,34 @@
     pending.whenEnded(() => this.#prefill.freeUnused())
     for (;;) {
       if (this.#refuseIfQuarantined()) return
-      const decision = this.#refusalBeforePlacement() ?? await placer.place(pending, this.#excluded)
+      // A pause concerns this instance only, so the coordinator goes on placing requests of others on the runner.
+      const decision = this.#refusalBeforePlacement() ?? await placer.place(pending, this.#excluded.filter((id) => !this.#isPaused(id)))
       if (pending.ended || this.#refuseIfQuarantined()) return
       if ('refusal' in decision) return this.#refuseUnplaced(decision)
       const outcome = await this.#attempt(decision)
       if (outcome === null || pending.ended) return
       if (!tryConsumeRetry(this.#context, pending, outcome)) break
     }
-    refuseUnanswered(pending, this.#retryAfterMs())
+    refuseUnanswered(pending, this.#pauseMs() + this.#retryAfterMs())
+  }
+
+  /** Time until one of the decode runners may take a request of this instance, in milliseconds; 0 if it may now. */
+  #pauseMs (): number {
+    const { backends, pauses } = this.#context
+    return pauses.shortestWaitMs(backends.ready(this.#pending.service, RunnerRole.Decode))
   }
 
-  /** The refusal of a request that can't be placed, as far as this instance knows. Until the coordinator has heard that the last runner leaves, it would place the request there again and again. */
+  #isPaused (id: string): boolean {
+    const backend = this.#context.backends.get(id)
+    return backend !== undefined && this.#context.pauses.waitMs(backend) > 0
+  }
+
+  /** The refusal of a request that can't be placed, as far as this instance knows. Until the coordinator has heard that the last runner leaves, it would place the request there again and again; so would one of an older version, which ignores pauses. */
   #refusalBeforePlacement (): RefusedPlacement | null {
-    if (this.#context.backends.ready(this.#pending.service, RunnerRole.Decode).length > 0) return null
-    return { refusal: PlacementRefusal.NoRunner, retryAfterMs: RETRY_AFTER_MS, waiting: 0, runs: 0 }
+    if (this.#context.backends.ready(this.#pending.service, RunnerRole.Decode).length === 0) return { refusal: PlacementRefusal.NoRunner, retryAfterMs: RETRY_AFTER_MS, waiting: 0, runs: 0 }
+    const pauseMs = this.#pauseMs()
+    if (pauseMs === 0 && this.#pausedPlacements < MAX_PAUSED_PLACEMENTS) return null
+    return { refusal: PlacementRefusal.Paused, retryAfterMs: pauseMs === 0 ? RETRY_AFTER_MS : pauseMs, waiting: 0, runs: 0 }
   }
 
   #refuseUnplaced (decision: RefusedPlacement): void {
@@ -108,7 +133,7 @@
       retryAfterMs: Math.round(decision.retryAfterMs)
     })
     if (pending.mayHaveRun) return pending.refuse(GatewayRefusal.OutcomeUnknown)
-    const refusal = decision.refusal === PlacementRefusal.RateLimited ? GatewayRefusal.RateLimited : GatewayRefusal.Overloaded
+    const refusal = gatewayRefusals[decision.refusal] ?? GatewayRefusal.Overloaded
     pending.refuse(refusal, decision.retryAfterMs + RETRY_AFTER_MS * this.#context.random())
   }
 
@@ -163,12 +188,17 @@
   async #attempt (placement: Placement): Promise<Exclude<ExchangeOutcome, ExchangeOutcome.Answered> | null> {
     const { backends, placer } = this.#context
     const decodeServer = backends.get(placement.decode)
+    // Before the prefill, which would be read in vain.
+    if (decodeServer !== undefined && pauseWaitMs(this.#context, this.#pending, decodeServer) !== null) {
+      this.#pausedPlacements += 1
+      return ExchangeOutcome.NotSent
+    }
     this.#excluded.push(placement.decode)
     if (decodeServer === undefined || !backends.accepts(decodeServer)) return ExchangeOutcome.NotSent
     const kvCache = this.#prefill.takeUnused() ?? await this.#prefill.compute(placement)
     placer.recordPrefillDone(this.#pending.request.id, null)
     if (this.#pending.ended || this.#refuseIfQuarantined()) {
-      if (kvCache !== null) this.#context.backendClient.freeKvCache(kvCache)
+      if (kvCache !== null) freeKvCache(this.#context, kvCache)
       return null
     }
     let result = await this.#sendToDecode(decodeServer, kvCache)
@@ -187,14 +217,14 @@
     if (pending.ended) return null
     if (result.outcome === ExchangeOutcome.Answered) return await this.#relay(decodeServer, result.head)
     logFailedSend(this.#context, pending, decodeServer, result)
-    this.#context.placer.recordRunnerFailure(pending.service, decodeServer.id)
+    if (!this.#isPaused(decodeServer.id)) this.#context.placer.recordRunnerFailure(pending.service, decodeServer.id)
     if (result.outcome === ExchangeOutcome.Broken && await this.#endIfRunnerCrashed(decodeServer)) return null
     return result.outcome
   }
 
   /** Whether the request may be sent to the decode runner once more. The placement allowed for one send only. */
   async #mayRepeat (decodeServer: BackendServer): Promise<boolean> {
-    if (await limitWaitMs(this.#context, this.#pending, decodeServer) !== null) return false
+    if (await sendWaitMs(this.#context, this.#pending, decodeServer) !== null) return false
     return !this.#pending.ended && this.#context.retryBudget.tryConsume(this.#pending.service)
   }
 
@@ -335,17 +365,18 @@
     const next = backends.get(decode)
     if (decode === decodeServer.id) return 'same-runner'
     if (next === undefined || !backends.accepts(next)) return 'runner-left'
+    if (this.#isPaused(next.id)) return 'runner-paused'
     if (!this.#mayMove()) return 'not-allowed'
     return retryBudget.tryConsume(this.#pending.service) ? null : 'retry-budget'
   }
 
   /** Sends the request to another runner, and returns why that did not take the stream over, or null. The present stream stays open until then. */
   async #move ({ prefill, decode }: Placement, isSilent: () => boolean, relayed: RelayedStream): Promise<string | null> {
-    const { backends, backendClient, log } = this.#context
+    const { backends, log } = this.#context
     const kvCache = await this.#prefill.tryCompute(prefill)
     const next = backends.get(decode)
-    if (next === undefined || !backends.accepts(next) || !isSilent() || !this.#mayMove()) {
-      if (kvCache !== null) backendClient.freeKvCache(kvCache)
+    if (next === undefined || !backends.accepts(next) || this.#isPaused(next.id) || !isSilent() || !this.#mayMove()) {
+      if (kvCache !== null) freeKvCache(this.#context, kvCache)
       return 'not-needed'
     }
     relayed.hold()
@@ -357,7 +388,7 @@
     }
     if (decided.outcome === ExchangeOutcome.Answered) decided.head.message.destroy()
     else logFailedSend(this.#context, this.#pending, next, decided)
-    if (kvCache !== null && decided.outcome !== ExchangeOutcome.Answered && provesNotRun(decided.outcome)) backendClient.freeKvCache(kvCache)
+    if (kvCache !== null && decided.outcome !== ExchangeOutcome.Answered && provesNotRun(decided.outcome)) freeKvCache(this.#context, kvCache)
     relayed.release()
     log.info('stream.rejected', { request: this.#pending.request.id, server: decode, outcome: decided.outcome })
     return decided.outcome
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -125,6 +125,7 @@
   }
 
   onLeaving: BackendClient['onLeaving'] = () => {}
+  onPause: BackendClient['onPause'] = () => {}
 
   classifyResponse (_options: SendOptions, head: ResponseHead): ResponseMeaning {
     return this.#meanings.get(head.message) ?? ResponseMeaning.Answer
--- a/test/gateway/gateway-fleet.ts
+++ b/test/gateway/gateway-fleet.ts
@@ -1,11 +1,12 @@
 import type { BackendServer } from '../../src/gateway/backend.js'
+import { RouteKind } from '../../src/gateway/configuration.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
 import { decodeDatagram, encodeDatagram, type PeerDatagram } from '../../src/gateway/peer-datagram.js'
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
 import { seededRandom } from '../../src/runtime/random.js'
-import { configuration, recordingLog, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
+import { configuration, recordingLog, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 
 const STEP_MS = 100
 const HEARTBEAT_MS = 500
@@ -56,7 +57,7 @@
       nowMs: () => this.nowMs,
       random: this.#random
     })
-    gateway.applyConfiguration(configuration(), 'store')
+    gateway.applyConfiguration(configuration({ routes: [route(), route({ name: 'stream', pathPrefix: '/stream/', kind: RouteKind.Streaming, timeoutMs: 5000, services: [{ service: 'model', weight: 1 }] })] }), 'store')
     gateway.applyListing({ revision: 1, changes: [] })
     for (const server of this.#servers) gateway.backends.put(server)
     const instance = { ip, gateway, backendClient, log, pausedUntilMs: 0 }
--- a/test/gateway/limit-fixtures.ts
+++ b/test/gateway/limit-fixtures.ts
@@ -2,13 +2,14 @@
 import { LimitClient } from '../../src/gateway/limit-client.js'
 import { LimitKeeper } from '../../src/gateway/limit-keeper.js'
 import { ServerLimits } from '../../src/gateway/server-limits.js'
+import { ServerPauses } from '../../src/gateway/server-pauses.js'
 import { recordingLog } from './gateway-fixtures.js'
 
-/** Limits of servers as a single instance knows and keeps them. */
-export function soleInstanceLimits (nowMs: () => number): { limits: ServerLimits, limitKeeper: LimitKeeper, limitClient: LimitClient } {
+/** Limits and pauses of servers as a single instance knows and keeps them. */
+export function soleInstanceLimits (nowMs: () => number): { limits: ServerLimits, limitKeeper: LimitKeeper, limitClient: LimitClient, pauses: ServerPauses } {
   const limits = new ServerLimits({ nowMs, log: recordingLog() })
   const limitKeeper = new LimitKeeper({ nowMs, limits, fleetShare: () => 1 })
   const instances = new InstanceTable({ ip: '10.0.0.1', nowMs })
   const limitClient = new LimitClient({ ip: '10.0.0.1', nowMs, limits, keeper: limitKeeper, instances, canCoordinate: () => true, send: () => {} })
-  return { limits, limitKeeper, limitClient }
+  return { limits, limitKeeper, limitClient, pauses: new ServerPauses({ nowMs, random: () => 0, log: recordingLog() }) }
 }
--- a/test/gateway/placement-client.test.ts
+++ b/test/gateway/placement-client.test.ts
@@ -58,6 +58,7 @@
       scheduler: new PlacementScheduler({ nowMs, backends, engine: () => engine, expectedRequest }),
       localScheduler: new PlacementScheduler({ nowMs, backends, engine: () => engine, expectedRequest }),
       engine: () => engine,
+      pauses: () => [{ server: 'd9', leftMs: 700 }],
       canCoordinate: () => false,
       send: (ip, message) => {
         sent.push({ ip, message })
--- a/test/gateway/placement-scheduler.test.ts
+++ b/test/gateway/placement-scheduler.test.ts
@@ -31,6 +31,7 @@
       promptId: null,
       objectiveLeftMs: 900,
       patienceMs: 650,
+      pauses: [],
       ...options
     }, (decision) => decisions.set(id, decision))
   }
@@ -228,6 +229,34 @@
   })
 })
 
+describe('PlacementScheduler for an instance that runners have turned away', () => {
+  // Guards against prefills that are read in vain for a decode runner that will not take the request.
+  test('places its requests on the other runners', () => {
+    const setup = fixture([prefill('p1'), prefill('p2'), decode('d1'), decode('d2')])
+    for (const id of ['a', 'b']) setup.submit(id, { pauses: [{ server: 'd2', leftMs: 100 }, { server: 'p1', leftMs: 100 }] })
+    expect([...setup.decisions.values()]).toEqual([{ prefill: 'p2', decode: 'd1' }, { prefill: 'p2', decode: 'd1' }])
+  })
+
+  // Guards against requests that wait at the coordinator for a runner that they may not use.
+  test('refuses its requests at once if it may use no decode runner, with the shortest time left', () => {
+    const setup = fixture([prefill('p'), decode('d1'), decode('d2')])
+    setup.submit('a', { pauses: [{ server: 'd1', leftMs: 700 }, { server: 'd2', leftMs: 400 }] })
+    expect(setup.decisions.get('a')).toMatchObject({ refusal: PlacementRefusal.Paused, retryAfterMs: 400 })
+  })
+
+  // Guards against requests of all instances that wait behind one that may not use the free runner.
+  test('does not hold up the requests of others, and places its own when a pause has ended', () => {
+    const setup = fixture([decode('d1'), decode('d2')])
+    for (let run = 0; run < 64; run += 1) setup.scheduler.recordProgress([{ id: `r${run}`, service: 'model', decode: 'd2', promptTokens: 10, output: { estimateTokens: 10, maxTokens: 10 }, madeTokens: 1 }])
+    setup.submit('a', { pauses: [{ server: 'd1', leftMs: 300 }] })
+    setup.submit('b')
+    expect([...setup.decisions.keys()]).toEqual(['b'])
+    setup.clock.ms = 301
+    setup.scheduler.tick()
+    expect(setup.decisions.get('a')).toEqual({ prefill: null, decode: 'd1' })
+  })
+})
+
 describe('PlacementScheduler under a burst on a large service', () => {
   test('reads the list of servers at most twice per scheduling pass, however many requests wait', () => {
     const servers = Array.from({ length: 30 }, (_, index) => index < 10 ? prefill(`p${index}`) : decode(`d${index}`))
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -11,6 +11,7 @@
 import type { Placer } from '../../src/gateway/placer.js'
 import { RetryBudget } from '../../src/gateway/retry-budget.js'
 import { ServerHealth } from '../../src/gateway/server-health.js'
+import type { ServerPauses } from '../../src/gateway/server-pauses.js'
 import { forwardStream } from '../../src/gateway/stream-forwarding.js'
 import { backend, callerRequest, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
 import { soleInstanceLimits } from './limit-fixtures.js'
@@ -22,6 +23,7 @@
   backendClient: ScriptedBackendClient
   placerCalls: string[]
   pending: PendingRequest
+  pauses: ServerPauses
   log: ReturnType<typeof recordingLog>
   done: Promise<void>
 }
@@ -56,6 +58,7 @@
     responder,
     nowMs
   })
+  const limits = soleInstanceLimits(nowMs)
   const done = forwardStream({
     backends,
     backendClient,
@@ -65,12 +68,12 @@
     log,
     nowMs,
     metrics: new GatewayMetrics(),
-    ...soleInstanceLimits(nowMs),
+    ...limits,
     random: () => 0,
     placer,
     quarantine: options.quarantine ?? new PromptQuarantine({ nowMs, log: recordingLog() })
   }, pending)
-  return { backends, responder, backendClient, placerCalls, pending, log, done }
+  return { backends, responder, backendClient, placerCalls, pending, pauses: limits.pauses, log, done }
 }
 
 const stream = { parts: ['id: 1\ndata: a\n\n', 'id: 2\ndata: b\n\n'] }
@@ -278,6 +281,15 @@
       expect(run.responder.text).toBe('id: 1\ndata: a\n\n')
     })
 
+    // Guards against a stream that is cut for a runner that will not take its resumption.
+    test('keeps the stream when the other place is on a runner that has turned this instance away', async () => {
+      const run = startForwarding({ route: resumable, alternative: { prefill: null, decode: 'd2' }, respond })
+      run.pauses.record(backend({ id: 'd2', service: 'model', stage: RunnerRole.Decode }), 5000)
+      await run.done
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      expect(run.log.lines).toContainEqual(expect.stringMatching(/^stream\.kept .*reason=runner-paused/))
+    })
+
     test('resumes the stream on another runner once that has a place, and consumes one retry', async () => {
       // A slack of 1.5 allows one retry.
       const run = startForwarding({ route: resumable, slack: 1.5, alternative: { prefill: null, decode: 'd2' }, respond })
