--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,6 +5,7 @@
 import type { CallerRequest, Responder } from './caller-request.js'
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
+import { CoordinatedServices } from './coordinated-services.js'
 import { RETRY_ELSEWHERE_MS } from './forwarding.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
@@ -22,11 +23,13 @@
 import { RoleRebalancer } from './role-rebalancer.js'
 import { chooseService, RouteTable } from './route-table.js'
 import { ServerHealth } from './server-health.js'
+import { ServerPauses } from './server-pauses.js'
 import { applySettings } from './settings-reload.js'
 import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
 import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { comparePositions, type StorePosition } from './store-position.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
+import { LeavingSharing } from './leaving-sharing.js'
 import { LimitSharing } from './limit-sharing.js'
 import { ReportExchange } from './report-exchange.js'
 
@@ -70,9 +73,11 @@
   readonly quarantine: PromptQuarantine
   readonly #suspectExchange: ReportExchange<SuspectReport>
   readonly limitSharing: LimitSharing
+  readonly leavingSharing: LeavingSharing
+  /** Servers that have turned this instance away for a time. */
+  readonly pauses: ServerPauses
   readonly #pendingRequests = new Set<PendingRequest>()
-  /** Names of the services that this instance coordinates. */
-  readonly #coordinatedServices = new Set<string>()
+  readonly #coordinatedServices: CoordinatedServices
   #configuration: Configuration | null = null
   #routes: RouteTable | null = null
   #storePosition: StorePosition = { era: 0, revision: 0 }
@@ -92,25 +97,21 @@
     this.#options = options
     const { settings, nowMs, log } = options
     this.#startedMs = nowMs()
-    this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, onChange: (change) => this.#onBackendChange(change) })
+    this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, hasSaidLeaving: (backend) => this.leavingSharing.notices.includes(backend), onChange: (change) => this.#onBackendChange(change) })
     this.instances = new InstanceTable({ ip: settings.ip, nowMs, processorShare: settings.processor.share * settings.processor.speed, random: options.random })
     for (const ip of settings.seeds) this.instances.addAddress(ip)
     this.#health = new ServerHealth({ nowMs })
     this.#configurationLag = new ConfigurationLag({ nowMs, log })
+    this.pauses = new ServerPauses({ nowMs, random: options.random, log })
+    options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
+    this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.#roleRebalancer.isChanging(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting() })
+    // A new coordinator places nothing at first, while the other instances report their runs.
+    this.#coordinatedServices = new CoordinatedServices({ ip: settings.ip, instances: this.instances, canCoordinate: () => !this.#stopping, onGain: () => this.#scheduler.warmUpFor(COORDINATOR_WARM_UP_MS), log })
     this.orderTokenIssuer = new OrderTokenIssuer({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
-    this.#roleRebalancer = new RoleRebalancer({
-      backends: this.backends,
-      backendClient: options.backendClient,
-      tokenIssuer: this.orderTokenIssuer,
-      holder: settings.id,
-      requestMix: (service) => this.#scheduler.requestMix(service),
-      load: (backend) => this.#scheduler.load(backend),
-      log,
-      nowMs
-    })
+    this.#roleRebalancer = new RoleRebalancer({ backends: this.backends, backendClient: options.backendClient, tokenIssuer: this.orderTokenIssuer, holder: settings.id, requestMix: (service) => this.#scheduler.requestMix(service), load: (backend) => this.#scheduler.load(backend), isPaused: (backend) => this.pauses.isPaused(backend), log, nowMs })
     this.#localScheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.#roleRebalancer.isChanging(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
     this.#placementClient = new PlacementClient({
       ip: settings.ip,
@@ -119,19 +120,14 @@
       scheduler: this.#scheduler,
       localScheduler: this.#localScheduler,
       engine,
+      pauses: (service) => this.pauses.list(this.backends.all().filter((backend) => backend.service === service)),
       canCoordinate: () => !this.#stopping,
       send: (ip, message) => options.send([ip], message),
       log,
       nowMs
     })
     this.quarantine = new PromptQuarantine({ nowMs, log, onChange: () => this.#suspectExchange.markChanged() })
-    this.#suspectExchange = new ReportExchange({
-      reports: () => this.quarantine.reports(),
-      reminders: () => this.quarantine.activeReports(),
-      perMessage: SUSPECTS_PER_MESSAGE,
-      message: (suspects) => ({ kind: PeerDatagramKind.Suspects, suspects }),
-      send: options.send
-    })
+    this.#suspectExchange = this.#createSuspectExchange()
     this.#forwardingContext = {
       backends: this.backends,
       backendClient: options.backendClient,
@@ -144,11 +140,22 @@
       metrics: options.metrics,
       limits: this.limitSharing.limits,
       limitClient: this.limitSharing.client,
+      pauses: this.pauses,
       placer: this.#placementClient,
       quarantine: this.quarantine
     }
   }
 
+  #createSuspectExchange (): ReportExchange<SuspectReport> {
+    return new ReportExchange({
+      reports: () => this.quarantine.reports(),
+      reminders: () => this.quarantine.activeReports(),
+      perMessage: SUSPECTS_PER_MESSAGE,
+      message: (suspects) => ({ kind: PeerDatagramKind.Suspects, suspects }),
+      send: this.#options.send
+    })
+  }
+
   get ready (): boolean {
     const listening = this.#options.nowMs() - this.#startedMs < STARTUP_LISTEN_MS + this.instances.propagationMs()
     return this.#routes !== null && this.#hasListing && !this.#stopping && !listening
@@ -280,6 +287,7 @@
     this.#options.send(targets, message)
     this.#suspectExchange.sendReminder(targets)
     this.limitSharing.sendReminder(targets)
+    this.leavingSharing.sendReminder(targets)
   }
 
   /** Removes servers that have been missing for too long, updates which services this instance coordinates, rebalances the runner roles of these services and runs a scheduling pass. */
@@ -288,7 +296,7 @@
     this.#trackConfigurationLag()
     this.#suspectExchange.sendChanges(this.instances.knownAddresses())
     this.limitSharing.sendChanges(this.instances.knownAddresses())
-    this.#updateCoordinatedServices()
+    this.#coordinatedServices.update(this.#configuration)
     if (this.#reachesStore && !this.#stopping) this.#rebalanceRoles()
     this.#scheduler.tick()
     this.#localScheduler.tick()
@@ -307,7 +315,7 @@
       return
     }
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.limitSharing.handleDatagram(from, message)) return
+    if (this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
     if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
@@ -374,6 +382,8 @@
       instances: this.instances.live(),
       suspects: this.quarantine.reports(),
       limits: this.limitSharing.limits.reports(),
+      leaving: this.leavingSharing.notices.reports(),
+      pauses: this.pauses.list(this.backends.all()),
       desk: this.#scheduler.dump()
     }
   }
@@ -390,22 +400,6 @@
     if (isWaiting) this.#options.send([from], { kind: PeerDatagramKind.Waiting, id })
   }
 
-  /** Updates which services this instance coordinates. When it becomes the coordinator of a service, it places nothing for COORDINATOR_WARM_UP_MS, while the other instances report their runs. */
-  #updateCoordinatedServices (): void {
-    for (const service of this.#configuration?.services ?? []) {
-      if (service.engine === null) continue
-      const isCoordinator = this.instances.coordinatorOf(service.name, !this.#stopping) === this.#options.settings.ip
-      if (isCoordinator === this.#coordinatedServices.has(service.name)) continue
-      if (isCoordinator) {
-        this.#coordinatedServices.add(service.name)
-        this.#scheduler.warmUpFor(COORDINATOR_WARM_UP_MS)
-      } else {
-        this.#coordinatedServices.delete(service.name)
-      }
-      this.#options.log.info('keeper.changed', { service: service.name, keeps: isCoordinator, instances: this.instances.servingCount() })
-    }
-  }
-
   /** Prepares for the first state of a new era, which is older than the state known so far. */
   #followEra ({ era }: StorePosition): void {
     if (this.#hasListing && era > this.#storePosition.era) this.backends.startEra()
@@ -432,7 +426,7 @@
   }
 
   #rebalanceRoles (): void {
-    for (const service of this.#coordinatedServices) {
+    for (const service of this.#coordinatedServices.names()) {
       this.#roleRebalancer.rebalance(service).catch((error: unknown) => this.#options.log.error('role.fault', { service, detail: String(error) }))
     }
   }
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -26,6 +26,8 @@
   Suspects = 'suspects',
   /** Tells of the limits that servers name. */
   Limits = 'limits',
+  /** Tells of servers that have said in their answers that they leave. */
+  Leaving = 'leaving',
   /** Requests a permit for one send to a server with a limit from the instance that keeps it. */
   Admit = 'admit',
   /** Answers a request for a permit. */
@@ -60,7 +62,9 @@
       output: outputLengthSchema,
       promptId: z.string().nullable(),
       objectiveLeftMs: z.number(),
-      patienceMs: z.number()
+      patienceMs: z.number(),
+      // Instances of older versions name none.
+      pauses: z.array(z.object({ server: z.string(), leftMs: z.number() })).default([])
     })
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Placed), id: z.string(), prefill: z.string().nullable(), decode: z.string() }),
@@ -74,6 +78,7 @@
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Failed), server: z.string() }),
   z.object({ kind: z.literal(PeerDatagramKind.Limits), limits: z.array(limitReportSchema) }),
+  z.object({ kind: z.literal(PeerDatagramKind.Leaving), servers: z.array(z.object({ server: z.string(), ageMs: z.number() })) }),
   z.object({ kind: z.literal(PeerDatagramKind.Admit), id: z.string(), server: z.string(), report: limitReportSchema }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
   z.object({
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -124,6 +124,9 @@
     return { head: Promise.resolve(this.#headOf(reaction)), cancel }
   }
 
+  onLeaving: BackendClient['onLeaving'] = () => {}
+  onPause: BackendClient['onPause'] = () => {}
+
   classifyResponse (_options: SendOptions, head: ResponseHead): ResponseMeaning {
     return this.#meanings.get(head.message) ?? ResponseMeaning.Answer
   }
