--- a/test/platform/store-entries.test.ts
+++ b/test/platform/store-entries.test.ts
@@ -80,6 +80,13 @@
     expect(decodeItem(item('servers/i-1', text))).toMatchObject({ kind: 'unreadable', backendId: 'i-1' })
   })
 
+  // Guards against heartbeats to names that must be looked up, which every instance would pass on to the others.
+  test.each(['', 'host.example', '10.0.0.300', '10.0.0.1:80', 'x'.repeat(300)])('reports the entry of an instance with the address "%s" as unreadable', (ip) => {
+    const change = decodeItem(item(`daisybarrow/instances/${ip}`, ''))
+    expect(change).toMatchObject({ kind: 'unreadable', backendId: null })
+    expect(JSON.stringify(change).length).toBeLessThan(500)
+  })
+
   test('ignores a key that the gateway does not use, and decodes the entry of an instance', () => {
     expect(decodeItem(item('op/other', {}))).toBeNull()
     expect(decodeItem(item('daisybarrow/instances/10.0.0.1', ''))).toEqual({ kind: 'instance', ip: '10.0.0.1' })
