Let the store come back from older copies in the soak

The soak's store never lost what it had acknowledged. After the recovery every instance has to know the newest configuration. The returns have a generator of their own, so the seeds that failed once keep their faults.

--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -3,8 +3,9 @@
 import type { CallEnd } from '../standin/platform-call.js'
 import { PlatformCallerStandIn } from '../standin/platform-caller-standin.js'
 import { faultHandlers, SoakFault } from './soak-faults.js'
-import { SoakFleet } from './soak-fleet.js'
+import { SoakFleet, type SoakInstance } from './soak-fleet.js'
 import { LeavingRunners } from './leaving-runners.js'
+import { StoreReturns } from './store-returns.js'
 import { SoakLedger } from './soak-ledger.js'
 
 /** Time for the fleet to become ready, in milliseconds. */
@@ -31,6 +32,9 @@
 /** Distance between the seeds of the faults and of the servers that leave. */
 const LEAVING_SEED_OFFSET = 1_000_003
 
+/** Distance between the seeds of the faults and of the returns of the store. */
+const RETURNS_SEED_OFFSET = 2_000_003
+
 interface SoakOptions {
   seed: number
   faultsMs: number
@@ -62,9 +66,11 @@
     const leaving = new LeavingRunners({ fleet })
     // A generator of its own, so that the seeds that failed once keep their series of faults.
     const leaves = leaving.run(options.faultsMs, seededRandom(options.seed + LEAVING_SEED_OFFSET))
+    const returns = new StoreReturns({ fleet }).run(options.faultsMs, seededRandom(options.seed + RETURNS_SEED_OFFSET))
     const faults = await injectFaults(fleet, random, options.faultsMs, violations)
-    await leaves
+    await Promise.all([leaves, returns])
     await delay(RECOVERY_MS)
+    violations.push(...await unknownRoutes(fleet))
     const before = ledger.ends.length
     await delay(CALM_MS)
     const calm = ledger.ends.slice(before)
@@ -105,19 +111,31 @@
   await delay(APPLY_MS)
   for (const instance of fleet.instances) {
     if (instance.touchedMs > sinceMs) continue
-    const status = await new Promise<number>((resolve) => {
-      const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example' }, timeout: 1500 }, (answer) => {
-        answer.resume()
-        resolve(answer.statusCode ?? 0)
-      })
-      asked.on('timeout', () => asked.destroy())
-      asked.on('error', () => resolve(0))
-      asked.end()
-    })
+    const status = await statusOf(fleet, instance, path)
     if (status === 404 && instance.touchedMs <= sinceMs) violations.push(`${instance.ip} does not know ${path} ${APPLY_MS} ms after it was accepted`)
   }
 }
 
+/** Judges after the recovery whether all instances have the newest configuration, also if the store had lost it for a while. */
+async function unknownRoutes (fleet: SoakFleet): Promise<string[]> {
+  const path = fleet.newestPath
+  const statuses = await Promise.all(fleet.instances.map((instance) => statusOf(fleet, instance, path)))
+  return fleet.instances.filter((_instance, index) => statuses[index] === 404).map(({ ip }) => `${ip} does not know ${path} after the recovery`)
+}
+
+/** Status of an instance's answer; 0 without one. */
+function statusOf (fleet: SoakFleet, instance: SoakInstance, path: string): Promise<number> {
+  return new Promise((resolve) => {
+    const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example' }, timeout: 1500 }, (answer) => {
+      answer.resume()
+      resolve(answer.statusCode ?? 0)
+    })
+    asked.on('timeout', () => asked.destroy())
+    asked.on('error', () => resolve(0))
+    asked.end()
+  })
+}
+
 function isGood ({ status, fault }: CallEnd): boolean {
   return status === 200 && fault === null
 }
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -73,6 +73,11 @@
     return added
   }
 
+  /** The route that is new in the newest configuration. */
+  get newestPath (): string {
+    return this.#added.at(-1) ?? ''
+  }
+
   async startRunner (index: number, stage: RunnerStage): Promise<void> {
     const ip = this.#ip(100 + index)
     const id = `i-${index}-${Math.floor(performance.now())}`
--- a/src/standin/platform-entries.ts
+++ b/src/standin/platform-entries.ts
@@ -5,8 +5,10 @@
 
 export const configurationKey = 'op/config'
 
+export const serverPrefix = 'servers/'
+
 export function serverKey (id: string): string {
-  return `servers/${id}`
+  return `${serverPrefix}${id}`
 }
 
 /** A configuration as an operator writes it: orders, checks and streams, and the given paths to the plain service. */
--- a/src/standin/platform-store-standin.ts
+++ b/src/standin/platform-store-standin.ts
@@ -75,6 +75,11 @@
     return this.#items.has(key)
   }
 
+  /** Whether an item was written or removed after this revision of the present era. */
+  changedSince (key: string, revision: number): boolean {
+    return this.#changes.some((change) => change.Key === key && change.Revision > revision)
+  }
+
   remove (key: string): void {
     if (!this.#items.delete(key)) return
     this.#revision += 1
