Watch the store also while the entry of this instance can't be written

What callers could see: a configuration or a leaving server taken up to 2.3 s late, over the bounds of 2 s.

Cause: after a return from a copy that lacks the entry of this instance, a refused write of it ended the step before the watch call, and each retry began with the write again, so only listings went through, at most one in 1.5 s. Also, an error 410 for a listing was repeated without a pause.

Change: a refused write is logged and repeated after the next watch call; a listing answered with 410 pauses like any other error.

Tests: with a store that refuses the entry, no watch call was made before; the listing answered with 410 did not come to an end in 60 s before.

--- a/src/gateway/store-watcher.ts
+++ b/src/gateway/store-watcher.ts
@@ -94,11 +94,7 @@
       this.#announced = listing.changes.some((change) => change.kind === StoreChangeKind.Instance && change.ip === this.#options.ip)
       return null
     }
-    if (!this.#announced && this.#announces) {
-      const error = await store.announce(this.#options.ip)
-      if (error !== null) return error
-      this.#announced = true
-    }
+    if (!this.#announced && this.#announces) await this.#announce()
     const result = await store.watch(this.#position.revision, WATCH_WAIT_MS)
     if (this.#stopped) return null
     if (isStoreError(result)) return result
@@ -117,6 +113,13 @@
     return null
   }
 
+  /** Writes the entry of this instance. A refused write is repeated after the next watch call, which must not wait for it. */
+  async #announce (): Promise<void> {
+    const error = await this.#options.store.announce(this.#options.ip)
+    this.#announced = error === null
+    if (error !== null) this.#options.log.warn('store.not-announced', { ...this.#position, detail: error.detail })
+  }
+
   /** An answer of an older era than a previous one names no era, or a malformed one: eras only rise. */
   #olderEraError ({ era }: StorePosition): StoreError {
     return { kind: StoreErrorKind.Unreachable, detail: `answer of era ${era} after era ${this.#position.era}` }
@@ -148,7 +151,8 @@
   }
 
   async #handleFailure (error: StoreError): Promise<void> {
-    if (error.kind === StoreErrorKind.HistoryLost) {
+    // A listing needs no history, so the error of one is no reason to list again at once.
+    if (error.kind === StoreErrorKind.HistoryLost && !this.#listsNext) {
       this.#options.log.info('store.history-lost', { ...this.#position, detail: error.detail })
       this.#listsNext = true
       return
