Take an order record for an order in progress only when it is new

What servers saw: after each listing, also the first one of a new era, the runner of the last role change got nothing for 25 s from instances other than the one that had ordered it, and those ordered no role change, although the change was long done.

Cause: every listing repeats the order records, and each was taken for an order that is being carried out. After a return of the store all instances list again.

Change: a record counts only if it is newer than the one known in its era; the first records of an era never do.

The two cases of the test failed before (the runner counted as changing) and pass now.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -109,12 +109,12 @@
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
-    this.#scheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.#roleRebalancer.isChanging(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting() })
+    this.#scheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting() })
     // A new coordinator places nothing at first, while the other instances report their runs.
     this.#coordinatedServices = new CoordinatedServices({ ip: settings.ip, instances: this.instances, canCoordinate: () => !this.#stopping, onGain: () => this.#scheduler.warmUpFor(COORDINATOR_WARM_UP_MS), log })
     this.orderTokenIssuer = new OrderTokenIssuer({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
     this.#roleRebalancer = new RoleRebalancer({ backends: this.backends, backendClient: options.backendClient, tokenIssuer: this.orderTokenIssuer, holder: settings.id, requestMix: (service) => this.#scheduler.requestMix(service), load: (backend) => this.#scheduler.load(backend), isPaused: (backend) => this.pauses.isPaused(backend), log, nowMs })
-    this.#localScheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.#roleRebalancer.isChanging(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
+    this.#localScheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, expectedRequest: settings.expectedRequest, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
     this.#placementClient = new PlacementClient({
       ip: settings.ip,
       failureDomain: settings.failureDomain,
@@ -202,10 +202,12 @@
 
   applyListing (listing: StoreListing): void {
     this.#followEra(listing)
-    this.orderTokenIssuer.observeEra(listing.era)
+    const isNewEra = this.orderTokenIssuer.observeEra(listing.era)
     const backends: BackendServer[] = []
     for (const change of listing.changes) {
       if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
+      // The first records of an era may be long past, and tell of no order that is still carried out.
+      else if (change.kind === StoreChangeKind.OrderRecord && isNewEra) this.orderTokenIssuer.observe(change.service, change.record, listing.era)
       else this.applyChange(change, listing)
     }
     this.#advancePosition(listing)
@@ -230,8 +232,12 @@
   }
 
   observeOrder (service: string, record: OrderRecord, era: number): void {
-    this.orderTokenIssuer.observe(service, record, era)
-    if (record.holder !== this.#options.settings.id) this.#roleRebalancer.recordPeerOrder(record.server)
+    const isNew = this.orderTokenIssuer.observe(service, record, era)
+    if (isNew && record.holder !== this.#options.settings.id) this.#roleRebalancer.recordPeerOrder(record.server)
+  }
+
+  isChangingRole (id: string): boolean {
+    return this.#roleRebalancer.isChanging(id)
   }
 
   handleUnreadableEntry ({ key, detail, backendId }: Extract<StoreChange, { kind: StoreChangeKind.Unreadable }>): void {
--- a/src/gateway/order-token-issuer.ts
+++ b/src/gateway/order-token-issuer.ts
@@ -48,21 +48,23 @@
     this.#options = options
   }
 
-  /** Forgets the records of older eras. Call it with the era of every listing before the records in it are observed. */
-  observeEra (era: number): void {
-    if (this.#era !== null && era <= this.#era) return
+  /** Forgets the records of older eras; returns whether the era is new. Call it with the era of every listing before the records in it are observed. */
+  observeEra (era: number): boolean {
+    if (this.#era !== null && era <= this.#era) return false
     this.#era = era
     this.#eraSeenMs = this.#options.nowMs()
     this.#records.clear()
+    return true
   }
 
-  /** Stores an order record read from or written to the store in an era, unless it is older than the stored one or the same. */
-  observe (service: string, record: OrderRecord, era: number): void {
+  /** Stores an order record read from or written to the store in an era, unless it is older than the stored one or the same; returns whether it was stored. */
+  observe (service: string, record: OrderRecord, era: number): boolean {
     this.observeEra(era)
-    if (this.#era !== era) return
+    if (this.#era !== era) return false
     const latest = this.#records.get(service)
-    if (latest !== undefined && latest.revision >= record.revision) return
+    if (latest !== undefined && latest.revision >= record.revision) return false
     this.#records.set(service, { ...record, seenMs: this.#options.nowMs() })
+    return true
   }
 
   /** Whether this instance may acquire a token: false while the last record is another instance's and too recent, or may have been lost with the last era. */
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -445,4 +445,19 @@
     await flushEventLoop()
     expect(log.lines.filter((line) => line.includes('request=q1'))).toMatchSnapshot()
   })
+
+  // Guards against a runner that gets nothing for 25 s after each listing, because of an order that was carried out long before.
+  test.each([
+    ['again in the same era', 1, 13],
+    ['by the copy of the store', 2, 11]
+  ])('takes an order record for a new order only once, also when it is listed %s', (_name, era, revision) => {
+    const { gateway } = createInstance()
+    const runner = { kind: StoreChangeKind.Backend, backend: backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode }) } as const
+    const record = { kind: StoreChangeKind.OrderRecord, service: 'model', record: { holder: 'n2', server: 'd1', revision: 5 } } as const
+    gateway.applyListing({ era: 1, revision: 12, changes: [record, runner] })
+    gateway.applyListing({ era, revision, changes: [record, runner] })
+    expect(gateway.isChangingRole('d1')).toBe(false)
+    gateway.applyChange({ ...record, record: { ...record.record, revision: 14 } }, { era, revision: 14 })
+    expect(gateway.isChangingRole('d1')).toBe(true)
+  })
 })
