Believe a peer that a server has gone, also in a new era

The later removal overwrote what the peer had told: that the server had said to leave, and since when. An older incarnation could replace the memory of a newer one.

Both new tests failed before and pass now.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -104,7 +104,7 @@
     for (const id of [...this.#entries.keys()]) if (!listed.has(id)) this.remove(id, ServerSource.Listing)
   }
 
-  /** Applies the snapshot of a peer. What the peer does not list is gone, or missing if the era is new; what it misses is not known to be back. */
+  /** Applies the snapshot of a peer. What the peer does not list is gone, or missing if the era is new and the peer does not know that it went; what it misses is not known to be back. */
   replaceBySnapshot (present: BackendServer[], missing: MissingServer[], departed: DepartedServer[] = []): void {
     const nowMs = this.#options.nowMs()
     this.#departed.merge(departed)
@@ -112,9 +112,11 @@
     for (const { id } of missing) known.add(id)
     for (const { id, ageMs } of missing) this.#markMissing(id, nowMs - ageMs, ServerSource.Snapshot)
     const isNewEra = nowMs - this.#eraStartedMs < REREGISTRATION_GRACE_MS
+    const goneStarts = new Map(departed.map(({ id, startedAtMs }) => [id, startedAtMs]))
     for (const [id, { backend }] of this.#entries) {
       if (known.has(id)) continue
-      if (isNewEra) this.#markMissing(id, nowMs, ServerSource.Snapshot)
+      const isGone = (goneStarts.get(id) ?? -Infinity) >= backend.startedAtMs
+      if (isNewEra && !isGone) this.#markMissing(id, nowMs, ServerSource.Snapshot)
       else this.#delete(backend, ServerSource.Snapshot)
     }
   }
--- a/src/gateway/departed-servers.ts
+++ b/src/gateway/departed-servers.ts
@@ -29,18 +29,23 @@
     this.#nowMs = options.nowMs
   }
 
-  /** Records that the entry of a server went at that time. */
+  /** Records that the entry of a server went at that time, besides what a peer may have told of the same incarnation. */
   record ({ id, startedAtMs, state }: BackendServer, atMs: number): void {
-    this.#set(id, { startedAtMs, leaving: state === ServerState.Leaving, atMs })
+    this.#add(id, { startedAtMs, leaving: state === ServerState.Leaving, atMs })
   }
 
-  /** Adds the departures that a peer remembers and this instance does not. */
+  /** Adds the departures that a peer remembers. */
   merge (departed: DepartedServer[]): void {
     const nowMs = this.#nowMs()
-    for (const { id, startedAtMs, leaving, ageMs } of departed) {
-      const atMs = nowMs - ageMs
-      if (atMs > (this.#departures.get(id)?.atMs ?? -Infinity)) this.#set(id, { startedAtMs, leaving, atMs })
-    }
+    for (const { id, startedAtMs, leaving, ageMs } of departed) this.#add(id, { startedAtMs, leaving, atMs: nowMs - ageMs })
+  }
+
+  /** The newest incarnation counts. That it had said to leave stays known, and so does the earliest time of its departure. */
+  #add (id: string, departure: Departure): void {
+    const known = this.#departures.get(id)
+    if (known !== undefined && known.startedAtMs > departure.startedAtMs) return
+    if (known?.startedAtMs !== departure.startedAtMs) return this.#set(id, departure)
+    this.#set(id, { ...departure, leaving: known.leaving || departure.leaving, atMs: Math.min(known.atMs, departure.atMs) })
   }
 
   forget (id: string): void {
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -103,4 +103,17 @@
     expect(changes).toEqual(['added b1', 'restarted b1'])
     expect(table.accepts(before)).toBe(false)
   })
+
+  // Guards against requests to a server of which a peer knows that it has left, around a return of the store.
+  test('removes a server at once that the snapshot of a new era names as gone', () => {
+    const { table, clock } = createTable()
+    table.put(backend())
+    table.put(backend({ id: 'b2' }))
+    table.startEra()
+    table.replaceBySnapshot([], [], [{ id: 'b1', startedAtMs: 1, leaving: true, ageMs: 6000 }])
+    expect(table.ready('plain').map(({ id }) => id)).toEqual(['b2'])
+    clock.ms += 10_000
+    table.put(backend())
+    expect(table.ready('plain')).toEqual([])
+  })
 })
--- a/test/gateway/departed-servers.test.ts
+++ b/test/gateway/departed-servers.test.ts
@@ -13,4 +13,15 @@
     departed.expire()
     expect(departed.all()).toEqual([])
   })
+
+  // Guards against a server that is used again because its departure was overwritten by a poorer record of it.
+  test('keeps the newest incarnation, and that it had said to leave', () => {
+    const departed = new DepartedServers({ nowMs: () => 10_000 })
+    departed.merge([{ id: 'b1', startedAtMs: 2, leaving: true, ageMs: 6000 }])
+    departed.record(backend({ startedAtMs: 2 }), 9000)
+    departed.merge([{ id: 'b1', startedAtMs: 1, leaving: false, ageMs: 500 }])
+    expect(departed.all()).toEqual([{ id: 'b1', startedAtMs: 2, leaving: true, ageMs: 6000 }])
+    departed.merge([{ id: 'b1', startedAtMs: 3, leaving: false, ageMs: 7000 }])
+    expect(departed.all()).toEqual([{ id: 'b1', startedAtMs: 3, leaving: false, ageMs: 7000 }])
+  })
 })
