--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -124,7 +124,8 @@
   /** Puts the servers of a listing or snapshot, and returns the ids of all but those that it may only have from the copy of the store. */
   #putConfirmed (backends: BackendServer[], source: ServerSource): Set<string> {
     const unconfirmedBefore = new Set(this.#unconfirmed.keys())
-    this.#unconfirmed.clear()
+    // A peer does not name the servers that it doubts itself, so their absence from its snapshot says nothing of them.
+    if (source === ServerSource.Listing) this.#unconfirmed.clear()
     const confirmed = new Set<string>()
     for (const backend of backends) {
       if (this.#isDoubtful(backend)) {
--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, test } from '@jest/globals'
 import { ServerState } from '../../src/gateway/backend.js'
-import { BackendTable, REREGISTRATION_GRACE_MS, Staleness } from '../../src/gateway/backend-table.js'
+import { BackendTable, REREGISTRATION_GRACE_MS, RESTORED_ENTRY_DOUBT_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { backend } from './gateway-fixtures.js'
 
 function createTable (): { table: BackendTable, clock: { ms: number }, changes: string[] } {
@@ -116,4 +116,19 @@
     table.put(backend())
     expect(table.ready('plain')).toEqual([])
   })
+
+  // Guards against a live server that stays unused after a peer's snapshot, until its entry changes.
+  test('uses an unconfirmed server in time although a snapshot of a peer lacks it', () => {
+    const { table, clock } = createTable()
+    table.put(backend())
+    table.remove('b1')
+    clock.ms += 3000
+    table.startEra()
+    table.replaceAll([backend(), backend({ id: 'b2' })])
+    clock.ms += 1000
+    table.replaceBySnapshot([backend({ id: 'b2' })], [])
+    clock.ms += RESTORED_ENTRY_DOUBT_MS
+    table.expire()
+    expect(table.ready('plain').map(({ id }) => id).sort()).toEqual(['b1', 'b2'])
+  })
 })
