--- a/test/gateway/backend-table.test.ts
+++ b/test/gateway/backend-table.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, test } from '@jest/globals'
-import { ServerState } from '../../src/gateway/backend.js'
+import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
 import { BackendTable, REREGISTRATION_GRACE_MS, RESTORED_ENTRY_DOUBT_MS, Staleness } from '../../src/gateway/backend-table.js'
 import { backend } from './gateway-fixtures.js'
 
@@ -131,4 +131,29 @@
     table.expire()
     expect(table.ready('plain').map(({ id }) => id).sort()).toEqual(['b1', 'b2'])
   })
+
+  // Guards against a service without servers for seconds after two returns of the store in a row. Listed in KNOWN-RED.txt.
+  test.failing('uses servers that registered again between two returns of the store', () => {
+    const { table, clock } = createTable()
+    const servers = ['b1', 'b2', 'b3'].map((id) => backend({ id }))
+    for (const server of servers) table.put(server)
+    table.startEra()
+    table.replaceAll([])
+    clock.ms += 900
+    table.startEra()
+    table.replaceAll(servers)
+    clock.ms += 1500
+    table.expire()
+    expect(table.ready('plain')).not.toEqual([])
+  })
+
+  // Guards against requests that a runner answers with 421, because a copy of the store lists the role that it had before. Listed in KNOWN-RED.txt.
+  test.failing('keeps the role that a runner took after the copy of the store was made', () => {
+    const { table } = createTable()
+    table.put(backend({ stage: RunnerRole.Decode }))
+    table.put(backend({ stage: RunnerRole.Prefill }))
+    table.startEra()
+    table.replaceAll([backend({ stage: RunnerRole.Decode })])
+    expect(table.ready('plain', RunnerRole.Decode)).toEqual([])
+  })
 })
