Hold requests that arrive before the first configuration

For 0.4 s after their restart the instances refuse each request with a Retry-After of 50 ms, which leads the caller to another instance without a configuration: 59 refusals no-configuration, each caller's only other attempt among them.

Change: such a request waits up to 600 ms for the first listing, unless another instance is known to be ready. If the wait is in vain, the Retry-After is 0.7 to 1.4 s, when the store may have answered. Held requests are refused at the exit, and at once beyond 256.

The check that a request before the configuration is refused at once is replaced: it is refused after the wait, with a Retry-After of half a second or more.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,6 +28,7 @@
 import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
 import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
 import { comparePositions, type StorePosition } from './store-position.js'
+import { StartupQueue } from './startup-queue.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
 import { LeavingSharing } from './leaving-sharing.js'
 import { LateAcceptance } from './late-acceptance.js'
@@ -43,6 +44,9 @@
 /** Number of addresses of other instances in each heartbeat, from which the receiver learns of new instances without the store. */
 const ADDRESSES_PER_HEARTBEAT = 4
 
+/** Retry delay given to callers while no instance is known to have a configuration, in milliseconds; a random addition of up to the same amount keeps them from returning all at once. */
+const STARTUP_RETRY_AFTER_MS = 700
+
 /** Number of suspected prompt parts in one message, so that it fits one packet. */
 const SUSPECTS_PER_MESSAGE = 4
 
@@ -92,6 +96,12 @@
   #stopping = false
   readonly #lateAcceptance = new LateAcceptance({ nowMs: () => this.#options.nowMs() })
   #refusesNewRequests = false
+  readonly #startupQueue = new StartupQueue({
+    isServedElsewhere: () => this.instances.servingCount() > 1,
+    serve: (request, responder) => this.serve(request, responder),
+    refuse: (request, responder) => this.#refuseUnconfigured(request, responder)
+  })
+
   /** Called when a request begins to wait for a placement. */
   onWaiting: () => void = () => {}
 
@@ -172,7 +182,7 @@
   }
 
   get inFlight (): number {
-    return this.#pendingRequests.size
+    return this.#pendingRequests.size + this.#startupQueue.size
   }
 
   get configuration (): Configuration | null {
@@ -214,6 +224,7 @@
     this.#hasListing = true
     if (this.#isSuperseded(listing)) this.#logSuperseded(listing)
     else this.backends.replaceAll(backends)
+    this.#releaseStartupQueue()
   }
 
   applyChange (change: StoreChange, position: StorePosition): void {
@@ -256,6 +267,7 @@
     this.#snapshotPosition = position
     this.#hasListing = true
     this.backends.replaceBySnapshot(backends, missing, departed)
+    this.#releaseStartupQueue()
     this.#options.log.info('snapshot.taken', { from, era, revision, servers: backends.length, missing: missing.length })
   }
 
@@ -374,6 +386,7 @@
 
   /** Ends all requests, because the process is about to exit; the answers say whether a request may have run. */
   endPendingRequests (): void {
+    this.#startupQueue.refuseAll()
     for (const pending of [...this.#pendingRequests]) pending.onTimeout()
   }
 
@@ -452,10 +465,19 @@
   }
 
   #refuseUnrouted (request: CallerRequest, responder: Responder): void {
-    if (this.#routes === null) return this.#refuseImmediately(request, responder, GatewayRefusal.NoConfiguration, RETRY_ELSEWHERE_MS)
+    if (this.#routes === null) return this.#startupQueue.add(request, responder)
     this.#refuseImmediately(request, responder, GatewayRefusal.UnknownRoute, null)
   }
 
+  #refuseUnconfigured (request: CallerRequest, responder: Responder): void {
+    const retryAfterMs = this.instances.servingCount() > 1 ? RETRY_ELSEWHERE_MS : STARTUP_RETRY_AFTER_MS * (1 + this.#options.random())
+    this.#refuseImmediately(request, responder, GatewayRefusal.NoConfiguration, retryAfterMs)
+  }
+
+  #releaseStartupQueue (): void {
+    if (this.#routes !== null && this.#hasListing) this.#startupQueue.release()
+  }
+
   #refuseImmediately (request: CallerRequest, responder: Responder, refusal: GatewayRefusal, retryAfterMs: number | null): void {
     this.#options.log.info('request.refused', { request: request.id, host: request.host, path: request.path, refusal, status: refusalStatus[refusal], version: this.#routes?.version ?? -1 })
     this.#options.metrics.countEnd('none', refusal, 0)
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, test } from '@jest/globals'
+import { describe, expect, jest, test } from '@jest/globals'
 import { once } from 'node:events'
 import type { AddressInfo } from 'node:net'
 import { RunnerRole, ServerState } from '../../src/gateway/backend.js'
@@ -101,16 +101,35 @@
   })
 
   test('refuses with no-configuration before it has a configuration, and with unknown-route only when the configuration lacks the route', () => {
+    jest.useFakeTimers()
     const { gateway } = createInstance()
     const earlyResponder = new RecordingResponder()
     gateway.serve(callerRequest(), earlyResponder)
+    jest.advanceTimersByTime(600)
+    jest.useRealTimers()
     expect(earlyResponder.refusal).toBe('no-configuration')
+    expect(earlyResponder.retryAfterMs).toBeGreaterThanOrEqual(500)
     gateway.applyConfiguration(configuration({ version: 5, routes: [] }), 'store')
     const unroutedResponder = new RecordingResponder()
     gateway.serve(callerRequest(), unroutedResponder)
     expect(unroutedResponder.refusal).toBe('unknown-route')
   })
 
+  // Guards against callers that use up their attempts while all instances start.
+  test('serves a request that arrived before the first listing, and sends it elsewhere at once if another instance is ready', () => {
+    const { gateway } = createInstance(() => ({ parts: ['ok'] }))
+    const responder = new RecordingResponder()
+    gateway.serve(callerRequest(), responder)
+    expect([responder.ending, gateway.inFlight]).toEqual([null, 1])
+    gateway.applyListing({ era: 1, revision: 5, changes: [{ kind: StoreChangeKind.Configuration, configuration: configuration({ routes: [] }) }] })
+    expect(responder.refusal).toBe('unknown-route')
+    const { gateway: other } = createInstance()
+    other.instances.recordHeartbeat({ ...gateway.status(), ip: '10.0.0.7', ready: true })
+    const sentElsewhere = new RecordingResponder()
+    other.serve(callerRequest(), sentElsewhere)
+    expect(sentElsewhere).toMatchObject({ refusal: 'no-configuration', retryAfterMs: 50 })
+  })
+
   test('does not replace the active configuration by an older one', () => {
     const { gateway } = createInstance()
     gateway.applyConfiguration(configuration({ version: 5 }), 'store')
