Measure prefill speed on prompts that wait at their runner

Change: the time between the ends of two prefills counts if the second prompt waited for the first one.

--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -94,6 +94,8 @@
   readonly #requests: RequestAverages
   readonly #backlog: Backlog
   readonly #backoffUntilMs = new Map<string, number>()
+  /** By prefill runner, when its last prefill ended, in milliseconds. */
+  readonly #prefillEndsMs = new Map<string, number>()
   /** By service, the resource that was missing for the first waiting request when a scheduling pass last stopped at it. */
   readonly #shortages = new Map<string, Shortage>()
   #warmUpUntilMs = -Infinity
@@ -164,8 +166,8 @@
   recordPrefillDone (id: string, tokensPerMs: number | null): void {
     const run = this.#runs.get(id)
     if (run === undefined || run.prefill === null) return
-    const { service, prefill, promptTokens, prefillStartMs } = run
-    if (tokensPerMs !== null) this.#speeds.recordPrefill(service, prefill, promptTokens / Math.max(1, this.#options.nowMs() - prefillStartMs))
+    const { service, prefill } = run
+    if (tokensPerMs !== null) this.#measurePrefill(run, prefill)
     this.#runs.endPrefill(run)
     this.#updatePrefillStarts(service, prefill)
     this.#placeIfDue()
@@ -252,17 +254,19 @@
     const prefillRunner = pool.choosePrefill(decodeRunner.backend, PREFILL_BACKLOG_MS, mayUse)
     if (prefillRunner === 'busy') return PlacementRefusal.PrefillBusy
     for (const runner of [decodeRunner, prefillRunner]) if (runner !== null) this.#options.permits?.tryTake(runner.backend)
+    const nowMs = this.#options.nowMs()
     const prefillStartMs = pool.addPrompt(promptTokens, prefillRunner)
     return {
       id,
       service,
       decode: decodeRunner.backend.id,
       prefill: prefillRunner?.backend.id ?? null,
+      placedMs: nowMs,
       prefillStartMs,
       promptTokens,
       output,
       madeTokens: 0,
-      reportedMs: this.#options.nowMs(),
+      reportedMs: nowMs,
       progressedMs: null
     }
   }
@@ -281,6 +285,14 @@
     return new RunnerPool({ prefill, decode, slots: engine.slots, nowMs, ...(permits === undefined ? {} : { mayTake: (backend) => permits.isAvailable(backend) }) })
   }
 
+  #measurePrefill ({ service, promptTokens, placedMs }: Run, runner: string): void {
+    const nowMs = this.#options.nowMs()
+    const previousEndMs = this.#prefillEndsMs.get(runner) ?? -Infinity
+    this.#prefillEndsMs.set(runner, nowMs)
+    const startMs = Math.max(placedMs, previousEndMs)
+    this.#speeds.recordPrefill(service, runner, { tokensPerMs: promptTokens / Math.max(1, nowMs - startMs), queued: previousEndMs > placedMs })
+  }
+
   /** Recomputes the estimated prefill starts of the prompts still assigned to a runner that has just finished one. */
   #updatePrefillStarts (service: string, runner: string): void {
     const tokensPerMs = this.#speeds.expectedPrefillSpeed(service, runner)
@@ -392,7 +404,9 @@
   retain (backends: BackendServer[]): void {
     const ids = new Set(backends.map(({ id }) => id))
     this.#speeds.retain(ids)
-    for (const id of this.#backoffUntilMs.keys()) if (!ids.has(id)) this.#backoffUntilMs.delete(id)
+    for (const table of [this.#backoffUntilMs, this.#prefillEndsMs]) {
+      for (const id of table.keys()) if (!ids.has(id)) table.delete(id)
+    }
   }
 
   /** Drops the runs that decode on a runner that was removed or restarted; a run that it was prefilling loses its prefill runner. */
--- a/src/gateway/run-table.ts
+++ b/src/gateway/run-table.ts
@@ -15,6 +15,8 @@
   decode: string
   /** Id of the prefill runner until the prefill has ended, then null; also null if the decode runner processes the prompt. */
   prefill: string | null
+  /** Time of the placement, in milliseconds. */
+  placedMs: number
   /** Estimated start of this prompt's prefill, in milliseconds. */
   prefillStartMs: number
   promptTokens: number
@@ -93,7 +95,7 @@
     const nowMs = this.#nowMs()
     const run = this.#runs.get(report.id)
     if (run === undefined) {
-      this.add({ ...report, prefill: null, prefillStartMs: 0, reportedMs: nowMs, progressedMs: null })
+      this.add({ ...report, prefill: null, placedMs: nowMs, prefillStartMs: 0, reportedMs: nowMs, progressedMs: null })
       return null
     }
     run.reportedMs = nowMs
--- a/src/gateway/runner-speeds.ts
+++ b/src/gateway/runner-speeds.ts
@@ -7,7 +7,7 @@
 const MAX_RUNNER_PREFILLS = 9
 
 /** Number of measured prefills of a runner from which its own speed is used instead of that of its service. */
-const MIN_RUNNER_PREFILLS = 3
+const MIN_RUNNER_PREFILLS = 4
 
 /** Number of measured prefills of all runners of a service that are kept. */
 const MAX_SERVICE_PREFILLS = 60
@@ -30,22 +30,30 @@
   msPerToken: number
 }
 
+/** Measured prefill speeds, in prompt tokens per millisecond. */
+interface PrefillSpeeds {
+  /** Of prompts that began when their runner was idle: they include latency in which it could have begun another one. */
+  alone: RecentValues<number>
+  /** Of prompts that waited for the previous one at their runner. */
+  queued: RecentValues<number>
+}
+
 interface ServiceSpeeds {
-  prefills: RecentValues<number>
+  prefills: PrefillSpeeds
   /** Measured times for a token by the number of runs. */
   stepsByRuns: Map<number, RecentValues<number>>
 }
 
 /** Speeds of the runners, measured on the work that this fleet has done. */
 export class RunnerSpeeds {
-  readonly #prefillsByRunner = new Map<string, RecentValues<number>>()
+  readonly #prefillsByRunner = new Map<string, PrefillSpeeds>()
   readonly #services = new Map<string, ServiceSpeeds>()
 
-  recordPrefill (service: string, runner: string, tokensPerMs: number): void {
-    const own = this.#prefillsByRunner.get(runner) ?? new RecentValues<number>({ maxValues: MAX_RUNNER_PREFILLS })
+  /** Records a prefill; `queued` is true if its prompt had to wait for the previous one at its runner, with whose end the time of this one begins. */
+  recordPrefill (service: string, runner: string, { tokensPerMs, queued }: { tokensPerMs: number, queued: boolean }): void {
+    const own = this.#prefillsByRunner.get(runner) ?? newPrefillSpeeds(MAX_RUNNER_PREFILLS)
     this.#prefillsByRunner.set(runner, own)
-    own.add(tokensPerMs)
-    this.#speedsOf(service).prefills.add(tokensPerMs)
+    for (const speeds of [own, this.#speedsOf(service).prefills]) (queued ? speeds.queued : speeds.alone).add(tokensPerMs)
   }
 
   recordDecodeStep (service: string, { runs, msPerToken }: DecodeStep): void {
@@ -57,16 +65,12 @@
 
   /** Expected speed of one prefill runner, in prompt tokens per millisecond: its own if enough prefills were measured, else that of its service, else an assumption. */
   expectedPrefillSpeed (service: string, runner: string): number {
-    const own = this.#prefillsByRunner.get(runner)
-    if (own !== undefined && own.count >= MIN_RUNNER_PREFILLS) return medianOf(own.all())
-    const prefills = this.#services.get(service)?.prefills
-    return prefills === undefined || prefills.count === 0 ? INITIAL_PREFILL_TOKENS_PER_MS : medianOf(prefills.all())
+    return speedOf(this.#prefillsByRunner.get(runner), MIN_RUNNER_PREFILLS) ?? speedOf(this.#services.get(service)?.prefills, 1) ?? INITIAL_PREFILL_TOKENS_PER_MS
   }
 
   /** Measured speed of the service's prefill runners, in prompt tokens per millisecond; null before enough prefills. */
   prefillSpeed (service: string): number | null {
-    const prefills = this.#services.get(service)?.prefills
-    return prefills === undefined || prefills.count < MIN_SERVICE_PREFILLS ? null : medianOf(prefills.all())
+    return speedOf(this.#services.get(service)?.prefills, MIN_SERVICE_PREFILLS)
   }
 
   /**
@@ -94,7 +98,7 @@
     const existing = this.#services.get(service)
     if (existing !== undefined) return existing
     const speeds = {
-      prefills: new RecentValues<number>({ maxValues: MAX_SERVICE_PREFILLS }),
+      prefills: newPrefillSpeeds(MAX_SERVICE_PREFILLS),
       stepsByRuns: new Map<number, RecentValues<number>>()
     }
     this.#services.set(service, speeds)
@@ -102,6 +106,17 @@
   }
 }
 
+function newPrefillSpeeds (maxValues: number): PrefillSpeeds {
+  return { alone: new RecentValues<number>({ maxValues }), queued: new RecentValues<number>({ maxValues }) }
+}
+
+/** The median speed of queued prompts if there are enough of them, else that of all; null if there are too few of either. */
+function speedOf (speeds: PrefillSpeeds | undefined, minPrefills: number): number | null {
+  if (speeds === undefined) return null
+  if (speeds.queued.count >= minPrefills) return medianOf(speeds.queued.all())
+  return speeds.alone.count >= minPrefills ? medianOf(speeds.alone.all()) : null
+}
+
 function medianStep (steps: readonly DecodeStep[]): DecodeStep {
   return { runs: medianOf(steps.map(({ runs }) => runs)), msPerToken: medianOf(steps.map(({ msPerToken }) => msPerToken)) }
 }
--- a/test/gateway/load-patterns/burst-over-capacity.test.ts
+++ b/test/gateway/load-patterns/burst-over-capacity.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, test } from '@jest/globals'
 import { LoadModel, type ModelFleet, type ModelResult } from './load-model.js'
 
-const fleet: ModelFleet = { prefillRunners: 2, decodeRunners: 3, memoryTokens: 65_000, slots: 64, roleChangeMs: 6000, promptMs: 90, promptTokensPerMs: 55, tokenMs: 4.55, tokenMsPerRun: 0.18 }
+const fleet: ModelFleet = { prefillRunners: 2, decodeRunners: 3, memoryTokens: 65_000, slots: 64, roleChangeMs: 6000, promptMs: 1, promptLatencyMs: 90, promptTokensPerMs: 55, tokenMs: 4.55, tokenMsPerRun: 0.18 }
 
 function playBurst (burstPerS: number, seed: number): Promise<ModelResult> {
   return new LoadModel({ fleet, load: { seconds: 45, requestsPerS: (second) => second >= 15 && second < 20 ? burstPerS : 6, promptTokens: 5200, outputTokens: 590 }, seed, mayOrder: false }).run()
--- a/test/gateway/load-patterns/load-model.ts
+++ b/test/gateway/load-patterns/load-model.ts
@@ -23,6 +23,8 @@
   roleChangeMs: number
   /** Time for each prompt in addition to its tokens. */
   promptMs: number
+  /** Time after the prefill until its answer, in which the runner processes the next prompt. */
+  promptLatencyMs: number
   promptTokensPerMs: number
   /** Time for one token of each run, alone and for each run on the runner. */
   tokenMs: number
@@ -165,9 +167,9 @@
     Object.assign(run, { decode, prefill })
     this.#runs.set(run.id, run)
     if (prefill === null) return
-    const { promptMs, promptTokensPerMs } = this.#fleet
+    const { promptMs, promptLatencyMs, promptTokensPerMs } = this.#fleet
     this.#prefillEnds.set(prefill, Math.max(this.#clock.ms, this.#prefillEnds.get(prefill) ?? 0) + promptMs + run.promptTokens / promptTokensPerMs)
-    Object.assign(run, { readyMs: this.#prefillEnds.get(prefill) })
+    Object.assign(run, { readyMs: (this.#prefillEnds.get(prefill) ?? 0) + promptLatencyMs })
   }
 
   #decode (): void {
--- a/test/gateway/load-patterns/prompts-against-answers.test.ts
+++ b/test/gateway/load-patterns/prompts-against-answers.test.ts
@@ -2,8 +2,8 @@
 import { LoadModel, type ModelFleet, type ModelLoad, type ModelResult } from './load-model.js'
 
 /** Six runners whose answers take four seconds, of which two should prefill. */
-const slowTokens: ModelFleet = { prefillRunners: 3, decodeRunners: 3, memoryTokens: 65_000, slots: 64, roleChangeMs: 6000, promptMs: 90, promptTokensPerMs: 55, tokenMs: 4.55, tokenMsPerRun: 0.18 }
-const fastTokens: ModelFleet = { ...slowTokens, memoryTokens: 107_000, promptMs: 1, tokenMs: 0.63, tokenMsPerRun: 0.002 }
+const slowTokens: ModelFleet = { prefillRunners: 3, decodeRunners: 3, memoryTokens: 65_000, slots: 64, roleChangeMs: 6000, promptMs: 1, promptLatencyMs: 90, promptTokensPerMs: 55, tokenMs: 4.55, tokenMsPerRun: 0.18 }
+const fastTokens: ModelFleet = { ...slowTokens, memoryTokens: 107_000, promptLatencyMs: 0, tokenMs: 0.63, tokenMsPerRun: 0.002 }
 
 /** A load below the capacity of the best split, with a burst slightly above it. */
 function burstOf (usualPerS: number, options: Partial<ModelLoad> = {}): ModelLoad {
@@ -14,8 +14,8 @@
 const fleets: Array<[string, ModelFleet, ModelLoad, number]> = [
   ['answers of few, slow tokens', slowTokens, burstOf(7), 1],
   ['answers of many, fast tokens', fastTokens, burstOf(6, { outputTokens: 5100 }), 1],
-  ['runners ten times as slow', { ...slowTokens, promptMs: 900, promptTokensPerMs: 5.5, tokenMs: 45, tokenMsPerRun: 1.8 }, burstOf(0.7), 1],
-  ['runners ten times as fast', { ...slowTokens, promptMs: 9, promptTokensPerMs: 550, tokenMs: 0.45, tokenMsPerRun: 0.018 }, burstOf(70), 1],
+  ['runners ten times as slow', { ...slowTokens, promptMs: 10, promptLatencyMs: 900, promptTokensPerMs: 5.5, tokenMs: 45, tokenMsPerRun: 1.8 }, burstOf(0.7), 1],
+  ['runners ten times as fast', { ...slowTokens, promptMs: 0, promptLatencyMs: 9, promptTokensPerMs: 550, tokenMs: 0.45, tokenMsPerRun: 0.018 }, burstOf(70), 1],
   ['few slots', { ...fastTokens, slots: 4 }, burstOf(3.5, { outputTokens: 3000 }), 2],
   ['long prompts and short answers', { ...fastTokens, prefillRunners: 2, decodeRunners: 4 }, burstOf(12, { promptTokens: 9000, outputTokens: 400 }), 3]
 ]
