Watch the store with a few instances of each failure domain, and keep heartbeats near

Each change wakes the watch of every instance.

Change: in each failure domain, the three instances with the largest processor share watch the store. They pass changes on in datagrams and announce their position twice a second. Coordinators always do. A resting instance that is needed again, or that learns of a new era, lists the store. With three instances or fewer in a failure domain, nothing changes. Heartbeats go to the square root of the failure domain and to two instances of other ones; a starting instance sends its status, without liveness entries, to those that it has not heard of, and each answers. The view of the store and the heartbeats are modules of their own now.

Tests: calls at 15, 65 and 195 instances, lost datagrams, all watching instances paused or cut off, a paused instance, a configuration, the grace of missing servers, other eras; heartbeats of 9 to 300 instances in 1 to 15 failure domains.

--- a/src/gateway/backend-table.ts
+++ b/src/gateway/backend-table.ts
@@ -92,6 +92,16 @@
     this.#graceUntilMs = this.#options.nowMs() + REREGISTRATION_GRACE_MS
   }
 
+  /** Time left in which servers whose entries disappear are kept, in milliseconds; negative if it is over. */
+  get graceLeftMs (): number {
+    return this.#graceUntilMs - this.#options.nowMs()
+  }
+
+  /** Keeps servers whose entries disappear within this time from now, in milliseconds. */
+  extendGrace (leftMs: number): void {
+    this.#graceUntilMs = Math.max(this.#graceUntilMs, this.#options.nowMs() + leftMs)
+  }
+
   /** Called before the servers of a new era of the store are applied: a server that registered after the copy was made is not among them and registers again. */
   startEra (): void {
     this.#eraStartedMs = this.#options.nowMs()
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -1,5 +1,5 @@
 import type { Log } from '../logs/log.js'
-import { type BackendServer, incarnationOf } from './backend.js'
+import { incarnationOf } from './backend.js'
 import type { BackendClient } from './backend-client.js'
 import { BackendTable, type BackendChange } from './backend-table.js'
 import type { CallerRequest, Responder } from './caller-request.js'
@@ -9,8 +9,9 @@
 import { RETRY_ELSEWHERE_MS } from './forwarding.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
+import { Heartbeats } from './heartbeats.js'
 import { InstanceTable, type InstanceStatus } from './instance-table.js'
-import { OrderTokenIssuer, type OrderRecord } from './order-token-issuer.js'
+import { OrderTokenIssuer } from './order-token-issuer.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PeerSnapshot } from './peer-snapshot.js'
 import { PendingRequest } from './pending-request.js'
@@ -25,14 +26,15 @@
 import { ServerHealth } from './server-health.js'
 import { ServerPauses } from './server-pauses.js'
 import { applySettings } from './settings-reload.js'
-import { encodeLivenessDigest, decodeLivenessDigest } from './liveness-digest.js'
-import { describesServer, type PlatformStore, type StoreChange, StoreChangeKind, type StoreListing } from './platform-store.js'
-import { comparePositions, type StorePosition } from './store-position.js'
+import type { PlatformStore, StoreChange, StoreListing } from './platform-store.js'
+import type { StorePosition } from './store-position.js'
 import { StartupQueue } from './startup-queue.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
 import { LeavingSharing } from './leaving-sharing.js'
 import { LateAcceptance } from './late-acceptance.js'
 import { LimitSharing } from './limit-sharing.js'
+import { StoreRelay } from './store-relay.js'
+import { StoreView } from './store-view.js'
 import { ReportExchange } from './report-exchange.js'
 
 /** Minimum time after the start of an instance for which it is not ready, in milliseconds; a large fleet adds the propagation time of liveness entries. Before the instance has received the heartbeats of the others, it would consider itself the coordinator. */
@@ -41,9 +43,6 @@
 /** Time that a new coordinator waits before it places anything, in milliseconds: the other instances report their runs every 300 ms. */
 const COORDINATOR_WARM_UP_MS = 400
 
-/** Number of addresses of other instances in each heartbeat, from which the receiver learns of new instances without the store. */
-const ADDRESSES_PER_HEARTBEAT = 4
-
 /** Retry delay given to callers while no instance is known to have a configuration, in milliseconds; a random addition of up to the same amount keeps them from returning all at once. */
 const STARTUP_RETRY_AFTER_MS = 700
 
@@ -85,14 +84,11 @@
   readonly #coordinatedServices: CoordinatedServices
   #configuration: Configuration | null = null
   #routes: RouteTable | null = null
-  #storePosition: StorePosition = { era: 0, revision: 0 }
-  /** Newest position of the store whose servers were taken from a peer's snapshot. */
-  #snapshotPosition: StorePosition = { era: 0, revision: 0 }
-  #reachesStore = false
+  readonly heartbeats: Heartbeats
+  readonly #storeView: StoreView
+  readonly storeRelay: StoreRelay
   readonly #configurationLag: ConfigurationLag
   readonly #startedMs: number
-  /** Whether a complete list of the backend servers has been received, from the store or from a peer. */
-  #hasListing = false
   #stopping = false
   readonly #lateAcceptance = new LateAcceptance({ nowMs: () => this.#options.nowMs() })
   #refusesNewRequests = false
@@ -110,7 +106,7 @@
     const { settings, nowMs, log } = options
     this.#startedMs = nowMs()
     this.backends = new BackendTable({ nowMs, drainMs: () => settings.drainMs, hasSaidLeaving: (backend) => this.leavingSharing.notices.includes(backend), onChange: (change) => this.#onBackendChange(change) })
-    this.instances = new InstanceTable({ ip: settings.ip, nowMs, processorShare: settings.processor.share * settings.processor.speed, random: options.random })
+    this.instances = new InstanceTable({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, processorShare: settings.processor.share * settings.processor.speed, random: options.random })
     for (const ip of settings.seeds) this.instances.addAddress(ip)
     this.#health = new ServerHealth({ nowMs })
     this.#configurationLag = new ConfigurationLag({ nowMs, log })
@@ -125,6 +121,9 @@
     this.orderTokenIssuer = new OrderTokenIssuer({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
     this.#roleRebalancer = new RoleRebalancer({ backends: this.backends, backendClient: options.backendClient, tokenIssuer: this.orderTokenIssuer, holder: settings.id, requestMix: (service) => this.#scheduler.requestMix(service), demand: (service) => this.#scheduler.demand(service), roleChangeMs: (service) => engine(service)?.roleChangeMs ?? 0, load: (backend) => this.#scheduler.load(backend), isPaused: (backend) => this.pauses.isPaused(backend), log, nowMs })
     this.#localScheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
+    this.heartbeats = new Heartbeats({ instances: this.instances, status: () => this.status(), sendReminders: (ips) => this.#sendReminders(ips), send: options.send, random: options.random })
+    this.#storeView = this.#createStoreView()
+    this.storeRelay = this.#createStoreRelay()
     this.#placementClient = new PlacementClient({
       ip: settings.ip,
       failureDomain: settings.failureDomain,
@@ -158,6 +157,44 @@
     }
   }
 
+  #createStoreView (): StoreView {
+    const { settings, log, random } = this.#options
+    return new StoreView({
+      holder: settings.id,
+      failureDomain: settings.failureDomain,
+      backends: this.backends,
+      instances: this.instances,
+      orderTokenIssuer: this.orderTokenIssuer,
+      applyConfiguration: (configuration, from) => this.applyConfiguration(configuration, from),
+      configurationVersion: () => this.#configuration?.version ?? -Infinity,
+      onPeerOrder: (server) => this.#roleRebalancer.recordPeerOrder(server),
+      onListedOrder: (server) => this.#roleRebalancer.recordListedOrder(server),
+      onListing: () => this.#releaseStartupQueue(),
+      log,
+      random
+    })
+  }
+
+  #createStoreRelay (): StoreRelay {
+    const { settings, send, nowMs } = this.#options
+    return new StoreRelay({
+      ip: settings.ip,
+      failureDomain: settings.failureDomain,
+      processorShare: settings.processor.share * settings.processor.speed,
+      instances: this.instances,
+      isCoordinator: () => this.#coordinatedServices.names().length > 0,
+      position: () => this.storePosition,
+      reachesStore: () => this.#storeView.reachesStore,
+      graceLeftMs: () => this.backends.graceLeftMs,
+      applyChanges: (changes, position, graceLeftMs) => {
+        this.backends.extendGrace(graceLeftMs)
+        this.#storeView.applyRelayed(changes, position)
+      },
+      send,
+      nowMs
+    })
+  }
+
   #createSuspectExchange (): ReportExchange<SuspectReport> {
     return new ReportExchange({
       reports: () => this.quarantine.reports(),
@@ -170,7 +207,7 @@
 
   get ready (): boolean {
     const listening = this.#options.nowMs() - this.#startedMs < STARTUP_LISTEN_MS + this.instances.propagationMs()
-    return this.#routes !== null && this.#hasListing && !this.#stopping && !listening
+    return this.#routes !== null && this.#storeView.hasListing && !this.#stopping && !listening
   }
 
   get stopping (): boolean {
@@ -196,7 +233,7 @@
 
   /** Newest position of the store that has been applied. */
   get storePosition (): StorePosition {
-    return this.#storePosition
+    return this.#storeView.position
   }
 
   /** Activates a configuration if its version is newer than that of the active one; `from` is 'store' or the IP address of a peer. */
@@ -211,27 +248,12 @@
   }
 
   applyListing (listing: StoreListing): void {
-    this.#followEra(listing)
-    const isNewEra = this.orderTokenIssuer.observeEra(listing.era)
-    const backends: BackendServer[] = []
-    for (const change of listing.changes) {
-      if (change.kind === StoreChangeKind.Backend) backends.push(change.backend)
-      // The first records of an era may be long past, and tell of no order that is still carried out.
-      else if (change.kind === StoreChangeKind.OrderRecord && isNewEra) this.orderTokenIssuer.observe(change.service, change.record, listing.era)
-      else this.applyChange(change, listing)
-    }
-    this.#advancePosition(listing)
-    this.#hasListing = true
-    if (this.#isSuperseded(listing)) this.#logSuperseded(listing)
-    else this.backends.replaceAll(backends)
-    this.#releaseStartupQueue()
+    this.storeRelay.recordListing()
+    this.#storeView.applyListing(listing)
   }
 
   applyChange (change: StoreChange, position: StorePosition): void {
-    if (describesServer(change) && this.#isSuperseded(position)) return this.#logSuperseded(position)
-    this.#advancePosition(position)
-    const handler = changeHandlers[change.kind] as (gateway: Gateway, change: StoreChange, era: number) => void
-    handler(this, change, position.era)
+    this.#storeView.applyChange(change, position)
   }
 
   /** Applies the changed settings that can change at run time, and logs which of the others wait for the next start. */
@@ -242,47 +264,22 @@
     if (applied.length + deferred.length > 0) log.info('settings.reloaded', { applied: applied.join() || 'none', atNextStart: deferred.join() || 'none' })
   }
 
-  observeOrder (service: string, record: OrderRecord, era: number): void {
-    const isNew = this.orderTokenIssuer.observe(service, record, era)
-    if (isNew && record.holder !== this.#options.settings.id) this.#roleRebalancer.recordPeerOrder(record.server)
-  }
-
   isChangingRole (id: string): boolean {
     return this.#roleRebalancer.isChanging(id)
   }
 
-  handleUnreadableEntry ({ key, detail, backendId }: Extract<StoreChange, { kind: StoreChangeKind.Unreadable }>): void {
-    this.#options.log.warn('store.unreadable', { key, detail })
-    // The unreadable value has overwritten the server's entry, so nothing shows whether the server still exists.
-    if (backendId !== null) this.backends.discard(backendId)
+  applyPeerSnapshot (from: string, snapshot: PeerSnapshot): void {
+    this.#storeView.applySnapshot(from, snapshot)
   }
 
-  /** Applies a snapshot from a peer: its configuration if that is newer, and its backend servers if its position of the store is newer. */
-  applyPeerSnapshot (from: string, { era = 0, revision, configuration, backends, missing = [], departed = [] }: PeerSnapshot): void {
-    if (configuration !== null) this.applyConfiguration(configuration, from)
-    const position = { era, revision }
-    if (comparePositions(position, this.#storePosition) <= 0) return
-    this.#followEra(position)
-    this.#advancePosition(position)
-    this.#snapshotPosition = position
-    this.#hasListing = true
-    this.backends.replaceBySnapshot(backends, missing, departed)
-    this.#releaseStartupQueue()
-    this.#options.log.info('snapshot.taken', { from, era, revision, servers: backends.length, missing: missing.length })
-  }
-
-  /** Records whether the store can be reached. */
   recordStoreReachability (reached: boolean): void {
-    this.#reachesStore = reached
-    this.backends.startReregistrationGrace()
+    this.#storeView.recordReachability(reached)
   }
 
-  /** A random live peer that has a newer configuration or, while this instance can't reach the store, one that can reach it and has a newer position of the store. Undefined if there is no such peer. */
-  peerWithNewerState (): InstanceStatus | undefined {
-    const ownVersion = this.#configuration?.version ?? -Infinity
-    const newer = this.instances.live().filter((peer) => peer.configurationVersion > ownVersion ||
-      (!this.#reachesStore && peer.reachesStore && comparePositions({ era: peer.storeEra ?? 0, revision: peer.storeRevision }, this.#storePosition) > 0))
-    return newer[Math.floor(this.#options.random() * newer.length)]
+  /** The instance from which a snapshot should be fetched; undefined if there is none with a newer state. */
+  peerWithNewerState (): Pick<InstanceStatus, 'ip'> | undefined {
+    const ip = this.storeRelay.snapshotSource()
+    return ip === undefined ? this.#storeView.peerWithNewerState() : { ip }
   }
 
   status (): InstanceStatus {
@@ -293,24 +290,13 @@
       callers: settings.listeners.callers,
       ready: this.ready,
       configurationVersion: this.#configuration?.version ?? -1,
-      storeEra: this.#storePosition.era,
-      storeRevision: this.#storePosition.revision,
-      reachesStore: this.#reachesStore,
+      storeEra: this.storePosition.era,
+      storeRevision: this.storePosition.revision,
+      reachesStore: this.#storeView.reachesStore,
       processorShare: settings.processor.share * settings.processor.speed
     }
   }
 
-  sendHeartbeat (targets: string[] = this.instances.heartbeatTargets()): void {
-    const addresses = this.instances.knownAddresses()
-    const start = Math.floor(this.#options.random() * addresses.length)
-    const addressSample = Array.from({ length: Math.min(ADDRESSES_PER_HEARTBEAT, addresses.length) }, (_, index) => addresses[(start + index) % addresses.length] ?? '')
-    const message: PeerDatagram = { kind: PeerDatagramKind.Heartbeat, status: this.status(), known: addressSample, sightings: encodeLivenessDigest(this.instances.livenessEntries()) }
-    this.#options.send(targets, message)
-    this.#suspectExchange.sendReminder(targets)
-    this.limitSharing.sendReminder(targets)
-    this.leavingSharing.sendReminder(targets)
-  }
-
   /** Removes servers that have been missing for too long, updates which services this instance coordinates, rebalances the runner roles of these services and runs a scheduling pass. */
   tick (): void {
     this.backends.expire()
@@ -318,7 +304,9 @@
     this.#suspectExchange.sendChanges(this.instances.knownAddresses())
     this.limitSharing.sendChanges(this.instances.knownAddresses())
     this.#coordinatedServices.update(this.#configuration)
-    if (this.#reachesStore && !this.#stopping) this.#rebalanceRoles()
+    this.storeRelay.tick()
+    if (!this.#storeView.reachesStore && !this.storeRelay.needsStore()) this.recordStoreReachability(true)
+    if (this.#storeView.reachesStore && !this.#stopping) this.#rebalanceRoles()
     this.#scheduler.tick()
     this.#localScheduler.tick()
   }
@@ -328,15 +316,9 @@
   }
 
   handleDatagram (from: string, message: PeerDatagram): void {
-    if (message.kind === PeerDatagramKind.Heartbeat) {
-      // A new or returned instance gets a heartbeat at once, because it is ready only after it has had time to receive those of the others.
-      if (this.instances.recordHeartbeat(message.status)) this.sendHeartbeat([from])
-      for (const ip of message.known) this.instances.addAddress(ip)
-      for (const entry of decodeLivenessDigest(message.sightings)) this.instances.mergeLiveness(entry)
-      return
-    }
+    if (message.kind === PeerDatagramKind.Heartbeat) return this.heartbeats.receive(from, message)
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
+    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
     if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
@@ -359,7 +341,7 @@
       this.#options.log.info('request.ended', {
         ...pending.endFields(ending),
         configuration: this.#routes?.version ?? -1,
-        storeRevision: this.#storePosition.revision
+        storeRevision: this.storePosition.revision
       })
     }
     this.#forwardingContext.retryBudget.recordRequest(service)
@@ -376,7 +358,7 @@
   stop (exitMs = Infinity): void {
     this.#stopping = true
     this.#lateAcceptance.exitMs = exitMs
-    this.sendHeartbeat(this.instances.knownAddresses())
+    this.heartbeats.introduce(this.instances.knownAddresses())
   }
 
   /** Refuses requests that arrive from now on, because there is no time left to finish them. */
@@ -393,7 +375,7 @@
   dump (): unknown {
     return {
       status: this.status(),
-      listed: this.#hasListing,
+      listed: this.#storeView.hasListing,
       stopping: this.#stopping,
       inFlight: [...this.#pendingRequests].map(({ request, route }) => ({ id: request.id, route: route.name })),
       backends: this.backends.all(),
@@ -418,25 +400,6 @@
     if (isWaiting) this.#options.send([from], { kind: PeerDatagramKind.Waiting, id })
   }
 
-  /** Prepares for the first state of a new era, which is older than the state known so far. */
-  #followEra ({ era }: StorePosition): void {
-    if (this.#hasListing && era > this.#storePosition.era) this.backends.startEra()
-  }
-
-  #advancePosition ({ era, revision }: StorePosition): void {
-    if (comparePositions({ era, revision }, this.#storePosition) > 0) this.#storePosition = { era, revision }
-  }
-
-  /** Whether a response of the store is older than the servers in a peer's snapshot: a slow response may arrive after the snapshot. */
-  #isSuperseded (position: StorePosition): boolean {
-    return comparePositions(position, this.#snapshotPosition) < 0
-  }
-
-  #logSuperseded ({ era, revision }: StorePosition): void {
-    const { era: snapshotEra, revision: snapshotRevision } = this.#snapshotPosition
-    this.#options.log.info('store.superseded', { era, revision, snapshotEra, snapshotRevision })
-  }
-
   #trackConfigurationLag (): void {
     const { configurationVersion: own, storeRevision, reachesStore } = this.status()
     const newest = Math.max(own, ...this.instances.live().map(({ configurationVersion }) => configurationVersion))
@@ -450,11 +413,11 @@
   }
 
   #checkFailedRunner (server: string): void {
-    this.#roleRebalancer.checkFailedRunner(server).catch((error: unknown) => this.#options.log.error('role.fault', { server, detail: String(error) }))
+    this.#roleRebalancer.checkRunner(server).catch((error: unknown) => this.#options.log.error('role.fault', { server, detail: String(error) }))
   }
 
   #onBackendChange ({ kind, backend, source }: BackendChange): void {
-    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, source, era: this.#storePosition.era, revision: this.#storePosition.revision })
+    this.#options.log.info(`server.${kind}`, { server: backend.id, service: backend.service, address: backend.address, stage: backend.stage, state: backend.state, source, era: this.storePosition.era, revision: this.storePosition.revision })
     if (kind === 'removed' || kind === 'restarted') this.#scheduler.removeRunner(backend)
     const all = this.backends.all()
     const incarnations = new Set(all.map(incarnationOf))
@@ -469,13 +432,19 @@
     this.#refuseImmediately(request, responder, GatewayRefusal.UnknownRoute, null)
   }
 
+  #sendReminders (ips: string[]): void {
+    this.#suspectExchange.sendReminder(ips)
+    this.limitSharing.sendReminder(ips)
+    this.leavingSharing.sendReminder(ips)
+  }
+
   #refuseUnconfigured (request: CallerRequest, responder: Responder): void {
     const retryAfterMs = this.instances.servingCount() > 1 ? RETRY_ELSEWHERE_MS : STARTUP_RETRY_AFTER_MS * (1 + this.#options.random())
     this.#refuseImmediately(request, responder, GatewayRefusal.NoConfiguration, retryAfterMs)
   }
 
   #releaseStartupQueue (): void {
-    if (this.#routes !== null && this.#hasListing) this.#startupQueue.release()
+    if (this.#routes !== null && this.#storeView.hasListing) this.#startupQueue.release()
   }
 
   #refuseImmediately (request: CallerRequest, responder: Responder, refusal: GatewayRefusal, retryAfterMs: number | null): void {
@@ -484,16 +453,3 @@
     responder.refuse(refusal, retryAfterMs)
   }
 }
-
-type ChangeHandlers = { [K in StoreChangeKind]: (gateway: Gateway, change: Extract<StoreChange, { kind: K }>, era: number) => void }
-
-const changeHandlers: ChangeHandlers = {
-  [StoreChangeKind.Configuration]: (gateway, { configuration }) => gateway.applyConfiguration(configuration, 'store'),
-  [StoreChangeKind.Backend]: (gateway, { backend }) => gateway.backends.put(backend),
-  [StoreChangeKind.BackendRemoved]: (gateway, { id }) => gateway.backends.remove(id),
-  [StoreChangeKind.Instance]: (gateway, { ip }) => gateway.instances.addAddress(ip),
-  // An instance counts as dead only when its heartbeats stop: its entry may be removed while it still serves requests.
-  [StoreChangeKind.InstanceRemoved]: () => {},
-  [StoreChangeKind.OrderRecord]: (gateway, { service, record }, era) => gateway.observeOrder(service, record, era),
-  [StoreChangeKind.Unreadable]: (gateway, change) => gateway.handleUnreadableEntry(change)
-}
--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -4,17 +4,26 @@
 /** Time between heartbeats, in milliseconds: a quarter of the time after which a silent instance counts as dead in a small fleet. */
 export const HEARTBEAT_MS = 500
 
-/** Minimum number of instances that a heartbeat is sent to. With up to this many peers, every instance sends to all others. In larger fleets, heartbeats also carry liveness entries of other instances, so that the messages of one instance grow only with the square root of the fleet size. */
+/** Number of peers up to which every instance sends its heartbeats to all others. In larger fleets, heartbeats also carry liveness entries of other instances. */
 export const HEARTBEAT_FANOUT = 10
 
+/** Minimum number of live instances that a heartbeat is sent to in a larger fleet. */
+const MIN_TARGETS = 7
+
+/** Minimum number of these in the own failure domain, if it has that many. */
+const MIN_NEAR_TARGETS = 5
+
+/** Minimum number of these in other failure domains; few, because traffic between failure domains is dear. */
+const MIN_FAR_TARGETS = 2
+
 /** Liveness entries in one heartbeat, of six bytes each, so that it fits one packet. */
 const MAX_LIVENESS_ENTRIES = 180
 
 /** Heartbeat periods until a liveness entry passed on between instances has reached all of them: it reaches a hundred instances within two, and one heartbeat may be lost. */
 const PROPAGATION_HEARTBEATS = 3
 
-/** Time after its start for which an instance sends its heartbeats to all others, in milliseconds: its full status is only in its own heartbeats, not in liveness entries. */
-const STARTUP_BROADCAST_MS = 2000
+/** Time after its start for which an instance introduces itself to all instances that it has not heard of, in milliseconds: its full status is only in its own heartbeats, not in liveness entries. */
+const INTRODUCTION_MS = 5000
 
 /** Minimum number of addresses without a live instance to which each heartbeat is also sent in a large fleet: an instance at such an address may be new or have returned. */
 const MIN_SILENT_TARGETS = 2
@@ -57,6 +66,7 @@
 
 interface InstanceTableOptions {
   ip: string
+  failureDomain?: string
   nowMs: () => number
   /** Processor time that this instance may use, in cores of the usual speed; only the instances with the largest share become coordinators. */
   processorShare?: number
@@ -70,7 +80,7 @@
   readonly #startedMs: number
 
   constructor (options: InstanceTableOptions) {
-    this.#options = { processorShare: 1, random: Math.random, ...options }
+    this.#options = { failureDomain: '', processorShare: 1, random: Math.random, ...options }
     this.#startedMs = options.nowMs()
   }
 
@@ -118,15 +128,24 @@
     return [...this.#peers.keys()]
   }
 
-  /** Addresses that the next heartbeat is sent to. */
+  /** Addresses that the next heartbeat is sent to, with liveness entries. In a large fleet their number grows with the square root of the failure domain. */
   heartbeatTargets (): string[] {
     const addresses = this.knownAddresses()
-    const fanout = this.#fanout()
-    const startingUp = this.#options.nowMs() - this.#startedMs < STARTUP_BROADCAST_MS
-    if (addresses.length <= fanout || startingUp) return addresses
-    const live = new Set(this.live().map(({ ip }) => ip))
-    const silent = addresses.filter((ip) => !live.has(ip))
-    return [...this.#sample([...live], fanout), ...this.#sample(silent, Math.max(MIN_SILENT_TARGETS, fanout - live.size))]
+    if (addresses.length <= HEARTBEAT_FANOUT) return addresses
+    const live = this.live()
+    const near = live.filter(({ failureDomain }) => failureDomain === this.#options.failureDomain).map(({ ip }) => ip)
+    const far = live.filter(({ failureDomain }) => failureDomain !== this.#options.failureDomain).map(({ ip }) => ip)
+    const nearTargets = this.#sample(near, Math.max(MIN_NEAR_TARGETS, Math.ceil(Math.sqrt(near.length))))
+    const farTargets = this.#sample(far, Math.max(MIN_FAR_TARGETS, MIN_TARGETS - nearTargets.length))
+    const isLive = new Set(live.map(({ ip }) => ip))
+    const silent = addresses.filter((ip) => !isLive.has(ip))
+    return [...nearTargets, ...farTargets, ...this.#sample(silent, Math.max(MIN_SILENT_TARGETS, MIN_TARGETS - live.length))]
+  }
+
+  /** Addresses to which a starting instance of a large fleet sends its status besides: those that it has not heard of. Each answers with its own status. */
+  introductionTargets (): string[] {
+    if (this.#peers.size <= HEARTBEAT_FANOUT || this.#options.nowMs() - this.#startedMs >= INTRODUCTION_MS) return []
+    return this.knownAddresses().filter((ip) => this.#peers.get(ip)?.status === null)
   }
 
   /** Liveness entries of recently live instances for the next heartbeat; empty in a fleet where all send heartbeats to each other. */
@@ -149,10 +168,6 @@
     return LIVENESS_MS + this.propagationMs()
   }
 
-  #fanout (): number {
-    return Math.max(HEARTBEAT_FANOUT, Math.ceil(Math.sqrt(this.#peers.size)))
-  }
-
   /** Statuses of the other live instances. */
   live (): InstanceStatus[] {
     const sinceMs = this.#options.nowMs() - this.#livenessMs()
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -1,7 +1,9 @@
 import { decode, encode } from 'cbor-x'
 import * as z from 'zod'
-import { PlacementRefusal } from './placement.js'
+import { RunnerRole, ServerState } from './backend.js'
 import { livenessDigestSchema } from './liveness-digest.js'
+import { PlacementRefusal } from './placement.js'
+import { StoreChangeKind } from './platform-store.js'
 
 export enum PeerDatagramKind {
   /** Status of the sender, addresses of other instances and their liveness. */
@@ -28,6 +30,8 @@
   Limits = 'limits',
   /** Tells of servers that have said in their answers that they leave. */
   Leaving = 'leaving',
+  /** Announces the position of the store that an instance has reached, and passes on the changes up to it. */
+  StoreState = 'store-state',
   /** Requests a permit for one send to a server with a limit from the instance that keeps it. */
   Admit = 'admit',
   /** Answers a request for a permit. */
@@ -50,8 +54,25 @@
 
 const outputLengthSchema = z.object({ estimateTokens: z.number().nullable(), maxTokens: z.number() })
 
+const backendSchema = z.object({
+  id: z.string(),
+  service: z.string(),
+  address: z.string(),
+  failureDomain: z.string(),
+  state: z.enum(ServerState),
+  stage: z.enum(RunnerRole),
+  slots: z.number(),
+  startedAtMs: z.number()
+})
+
+const relayedChangeSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal(StoreChangeKind.Backend), backend: backendSchema }),
+  z.object({ kind: z.literal(StoreChangeKind.BackendRemoved), id: z.string() }),
+  z.object({ kind: z.literal(StoreChangeKind.OrderRecord), service: z.string(), record: z.object({ holder: z.string(), server: z.string(), revision: z.number() }) })
+])
+
 const datagramSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal(PeerDatagramKind.Heartbeat), status: instanceStatusSchema, known: z.array(z.string()), sightings: livenessDigestSchema }),
+  z.object({ kind: z.literal(PeerDatagramKind.Heartbeat), status: instanceStatusSchema, known: z.array(z.string()), sightings: livenessDigestSchema, wantsStatus: z.boolean().optional() }),
   z.object({
     kind: z.literal(PeerDatagramKind.Place),
     request: z.object({
@@ -79,6 +100,16 @@
   z.object({ kind: z.literal(PeerDatagramKind.Failed), server: z.string() }),
   z.object({ kind: z.literal(PeerDatagramKind.Limits), limits: z.array(limitReportSchema) }),
   z.object({ kind: z.literal(PeerDatagramKind.Leaving), servers: z.array(z.object({ server: z.string(), ageMs: z.number() })) }),
+  z.object({
+    kind: z.literal(PeerDatagramKind.StoreState),
+    era: z.number(),
+    revision: z.number(),
+    reachesStore: z.boolean(),
+    // Revision that the changes continue; null if they do not fit a datagram.
+    fromRevision: z.number().nullable(),
+    changes: z.array(relayedChangeSchema),
+    graceLeftMs: z.number().nonnegative()
+  }),
   z.object({ kind: z.literal(PeerDatagramKind.Admit), id: z.string(), server: z.string(), report: limitReportSchema }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
   z.object({
--- a/src/gateway/platform-store.ts
+++ b/src/gateway/platform-store.ts
@@ -26,6 +26,9 @@
   | { kind: StoreChangeKind.OrderRecord, service: string, record: OrderRecord }
   | { kind: StoreChangeKind.Unreadable, key: string, detail: string, backendId: string | null }
 
+/** A change that instances pass on to each other. */
+export type RelayedChange = Extract<StoreChange, { kind: StoreChangeKind.Backend | StoreChangeKind.BackendRemoved | StoreChangeKind.OrderRecord }>
+
 /** The result of a listing or a watch call: entries or changes, and the position of the store that they reach. */
 export interface StoreListing extends StorePosition {
   changes: StoreChange[]
--- a/src/gateway/role-rebalancer.ts
+++ b/src/gateway/role-rebalancer.ts
@@ -65,6 +65,8 @@
   readonly #changing = new Map<string, { role: RunnerRole, untilMs: number }>()
   /** Last order of this instance by service, with the number of runners that the service had. */
   readonly #lastOrders = new Map<string, { role: RunnerRole, orderedMs: number, runnerCount: number }>()
+  /** Runners of listed orders that may still be carried out. */
+  readonly #listedOrders = new Set<string>()
   /** When a runner was last asked whether it is changing its role, in milliseconds. */
   readonly #checkedMs = new Map<string, number>()
   #ordering = false
@@ -87,8 +89,13 @@
     this.#changing.set(server, { role: otherRole[currentRole], untilMs: nowMs() + ORDER_TIMEOUT_MS })
   }
 
-  /** Asks a runner that has failed a request whether it is changing its role by an order that this instance does not know, for instance one from before its restart. */
-  async checkFailedRunner (server: string): Promise<void> {
+  /** Records the runner of an order that a listing of the store shows; it is asked whether it is changing its role if this instance coordinates its service. */
+  recordListedOrder (server: string): void {
+    this.#listedOrders.add(server)
+  }
+
+  /** Asks a runner that has failed a request, or that a listed order is for, whether it is changing its role by an order that this instance does not know, for instance one from before its restart. */
+  async checkRunner (server: string): Promise<void> {
     const { backends, backendClient, nowMs, log, isPaused = () => false } = this.#options
     const backend = backends.get(server)
     const currentMs = nowMs()
@@ -104,6 +111,11 @@
   /** Orders at most one role change for a service that this instance coordinates. */
   async rebalance (service: string): Promise<void> {
     const { nowMs, backends } = this.#options
+    for (const server of this.#listedOrders) {
+      if (backends.get(server)?.service !== service) continue
+      this.#listedOrders.delete(server)
+      await this.checkRunner(server)
+    }
     const runners = backends.all().filter((backend) => backend.service === service && backend.stage !== RunnerRole.None && backends.accepts(backend))
     this.#dropSettledChanges()
     if (this.#ordering || this.#changing.size > 0 || !this.#isSteady(service, runners)) return
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -78,6 +78,9 @@
     log,
     random: options.random,
     nowMs: () => performance.now(),
+    isNeeded: () => gateway.storeRelay.needsStore(),
+    knownEra: () => gateway.storePosition.era,
+    onBatch: (fromRevision, batch) => gateway.storeRelay.relay(fromRevision, batch),
     onListing: (listing) => gateway.applyListing(listing),
     onChange: (change, position) => gateway.applyChange(change, position),
     onReachability: (reached) => gateway.recordStoreReachability(reached)
@@ -110,7 +113,7 @@
 
 function startPeriodicTasks (options: RunOptions): void {
   const { gateway, log } = options
-  setInterval(() => gateway.sendHeartbeat(), HEARTBEAT_MS)
+  setInterval(() => gateway.heartbeats.sendPeriodic(), HEARTBEAT_MS)
   setInterval(() => gateway.sendReports(), REPORT_PERIOD_MS)
   let limits: CallerLimits | null = null
   let busy = false
--- a/src/gateway/store-watcher.ts
+++ b/src/gateway/store-watcher.ts
@@ -14,6 +14,9 @@
 /** Size from which the transfer of a response is logged, in bytes: only a large configuration makes a response that large. */
 const LOGGED_TRANSFER_BYTES = 64 * 1024
 
+/** Time between two checks whether the store has to be watched, while it has not, in milliseconds. */
+const REST_MS = 100
+
 /** Mean pause after the first failed call, in milliseconds; doubled after each further failure. */
 const INITIAL_BACKOFF_MS = 100
 
@@ -28,13 +31,19 @@
   nowMs: () => number
   /** Called with every complete listing. */
   onListing: (listing: StoreListing) => void
+  /** Whether this instance has to watch the store itself; always by default. */
+  isNeeded?: () => boolean
+  /** Newest era of the store that this instance knows, also from peers; 0 by default. */
+  knownEra?: () => number
+  /** Called after the changes of a watch call, with the revision that it continued. */
+  onBatch?: (fromRevision: number, batch: StoreListing) => void
   /** Called with each change, and with the position of the store that the watch call reached. */
   onChange: (change: StoreChange, position: StorePosition) => void
   /** Called with true when the store becomes reachable, and with false after each call that could not reach it. */
   onReachability: (reached: boolean) => void
 }
 
-/** Watches the platform's store: reads one listing, then its changes. When the store returns from a copy, its entries are listed again. A store error never removes entries that were read before. */
+/** Watches the platform's store: reads one listing, then its changes while that is needed. When the store returns from a copy, its entries are listed again. A store error never removes entries that were read before. */
 export class StoreWatcher {
   readonly #options: StoreWatcherOptions
   /** Position of the store that the last listing or watch call reached; era and revision are 0 before the first listing. */
@@ -45,6 +54,8 @@
   #answeredMs = -Infinity
   /** Whether the last call reached the store; null before the first call. */
   #reached: boolean | null = null
+  /** Whether the watch has rested since the last call. */
+  #rested = false
   #stopped = false
   #backoffMs = INITIAL_BACKOFF_MS
   /** Whether the store has an entry of this instance. */
@@ -63,6 +74,10 @@
   /** Lists and watches the store until stop() is called. */
   async run (): Promise<void> {
     while (!this.#stopped) {
+      if (this.#mayRest()) {
+        await delay(REST_MS)
+        continue
+      }
       const error = await this.#step()
       if (error === null) this.#handleSuccess()
       else await this.#handleFailure(error)
@@ -78,6 +93,20 @@
     this.#stopped = true
   }
 
+  /** Whether no call is needed now. Afterwards the entries are listed, because peers do not pass on all changes. */
+  #mayRest (): boolean {
+    const { isNeeded = () => true, knownEra = () => 0 } = this.#options
+    if (knownEra() > this.#position.era) this.#listsNext = true
+    const isAnnounced = this.#announced || !this.#announces
+    if (!this.#listsNext && isAnnounced && !isNeeded()) {
+      this.#rested = true
+      return true
+    }
+    if (this.#rested) this.#listsNext = true
+    this.#rested = false
+    return false
+  }
+
   /** Makes one call to the store, or two if the instance has to announce itself: lists the entries, or waits for changes and applies them. Returns the error of a failed call. */
   async #step (): Promise<StoreError | null> {
     const { store } = this.#options
@@ -94,7 +123,10 @@
       this.#announced = listing.changes.some((change) => change.kind === StoreChangeKind.Instance && change.ip === this.#options.ip)
       return null
     }
-    if (!this.#announced && this.#announces) await this.#announce()
+    if (!this.#announced && this.#announces) {
+      await this.#announce()
+      if (this.#mayRest()) return null
+    }
     const result = await store.watch(this.#position.revision, WATCH_WAIT_MS)
     if (this.#stopped) return null
     if (isStoreError(result)) return result
@@ -104,12 +136,14 @@
       this.#listsNext = true
       return null
     }
+    const fromRevision = this.#position.revision
     this.#position = { era: result.era, revision: result.revision }
     // More than one version means that changes arrive faster than they are transferred: a listing skips the versions in between.
     this.#listsNext = countConfigurations(result) > 1
     this.#logTransfer('watch', result)
     for (const change of result.changes) this.#handleChange(change)
-    if (result.changes.length > 0) await new Promise((resolve) => setTimeout(resolve, CHANGE_BATCH_MS))
+    this.#options.onBatch?.(fromRevision, result)
+    if (result.changes.length > 0) await delay(CHANGE_BATCH_MS)
     return null
   }
 
@@ -165,10 +199,14 @@
     this.#options.onReachability(false)
     const pauseMs = this.#backoffMs * (0.5 + this.#options.random())
     this.#backoffMs = Math.min(MAX_BACKOFF_MS, this.#backoffMs * 2)
-    await new Promise((resolve) => setTimeout(resolve, pauseMs))
+    await delay(pauseMs)
   }
 }
 
+function delay (ms: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, ms))
+}
+
 function countConfigurations ({ changes }: StoreListing): number {
   return changes.filter(({ kind }) => kind === StoreChangeKind.Configuration).length
 }
--- a/test/gateway/gateway-fleet.ts
+++ b/test/gateway/gateway-fleet.ts
@@ -74,7 +74,7 @@
       this.nowMs += STEP_MS
       for (const { gateway, pausedUntilMs } of this.instances) {
         if (pausedUntilMs > this.nowMs) continue
-        if (this.nowMs % HEARTBEAT_MS === 0) gateway.sendHeartbeat()
+        if (this.nowMs % HEARTBEAT_MS === 0) gateway.heartbeats.sendPeriodic()
         gateway.tick()
       }
     }
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -171,7 +171,7 @@
     const { gateway: knowing, sent } = servingInstance()
     const { gateway: joining } = servingInstance()
     knowing.quarantine.merge('10.0.0.3', [{ part: 'bad', service: 'model', position: 1, crashes: [], successAgeMs: null, recentlySuccessful: false, quarantineLeftMs: 9000, quarantines: 1 }])
-    knowing.sendHeartbeat(['10.0.0.2'])
+    knowing.heartbeats.introduce(['10.0.0.2'])
     for (const message of sent) joining.handleDatagram('10.0.0.1', decodeDatagram(encodeDatagram(message)) as PeerDatagram)
     const responder = new RecordingResponder()
     const generationParameters = { promptTokens: 500, maxOutputTokens: 900, estimatedOutputTokens: null, promptId: 'own', sharedParts: ['first', 'bad'] }
@@ -273,7 +273,7 @@
   // Guards against statuses that lose the era on the way, or that beside instances of older versions are dropped for lack of it.
   test.each([2, undefined])('sends and receives a heartbeat whose era is %s', (storeEra) => {
     const { gateway, sent } = servingInstance()
-    gateway.sendHeartbeat(['10.0.0.2'])
+    gateway.heartbeats.introduce(['10.0.0.2'])
     const heartbeat = sent.find(({ kind }) => kind === PeerDatagramKind.Heartbeat) as Extract<PeerDatagram, { kind: PeerDatagramKind.Heartbeat }>
     const status = JSON.parse(JSON.stringify({ ...heartbeat.status, storeEra })) as typeof heartbeat.status
     expect(decodeDatagram(encodeDatagram({ ...heartbeat, status }))).toEqual({ ...heartbeat, status })
--- a/test/gateway/instance-table.test.ts
+++ b/test/gateway/instance-table.test.ts
@@ -2,7 +2,7 @@
 import { addressesFor } from '../../src/gateway/directory.js'
 import { HEARTBEAT_FANOUT, HEARTBEAT_MS, type InstanceStatus, InstanceTable, LIVENESS_MS } from '../../src/gateway/instance-table.js'
 import { encodeDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
-import { encodeLivenessDigest, decodeLivenessDigest } from '../../src/gateway/liveness-digest.js'
+import { encodeLivenessDigest, decodeLivenessDigest, type LivenessEntry } from '../../src/gateway/liveness-digest.js'
 import { seededRandom } from '../../src/runtime/random.js'
 
 function status (ip: string, options: Partial<InstanceStatus> = {}): InstanceStatus {
@@ -51,16 +51,20 @@
 class HeartbeatFleet {
   nowMs = 0
   sentMessages = 0
+  /** Bytes sent to other failure domains. */
+  farBytes = 0
   largestBytes = 0
   readonly #random = seededRandom(7)
   readonly #tables = new Map<string, InstanceTable>()
   readonly #lossShare: number
+  readonly #domains: number
 
-  constructor (size: number, lossShare: number) {
+  constructor (size: number, lossShare: number, domains = 1) {
     this.#lossShare = lossShare
+    this.#domains = domains
     const ips = Array.from({ length: size }, (_, index) => `10.0.${index >> 6}.${index & 63}`)
     for (const ip of ips) {
-      const table = new InstanceTable({ ip, nowMs: () => this.nowMs, random: this.#random })
+      const table = new InstanceTable({ ip, failureDomain: this.#domainOf(ip), nowMs: () => this.nowMs, random: this.#random })
       for (const other of ips) table.addAddress(other)
       this.#tables.set(ip, table)
     }
@@ -76,22 +80,30 @@
 
   runRounds (rounds: number): void {
     for (let round = 0; round < rounds; round += 1) {
-      for (const [ip, table] of this.#tables) this.#sendHeartbeat(ip, table)
+      for (const [ip, table] of this.#tables) {
+        this.#send(ip, table.heartbeatTargets(), table.livenessEntries())
+        this.#send(ip, table.introductionTargets(), [], true)
+      }
       this.nowMs += HEARTBEAT_MS
     }
   }
 
-  #sendHeartbeat (ip: string, table: InstanceTable): void {
-    const own = status(ip)
-    const digest = encodeLivenessDigest(table.livenessEntries())
+  #domainOf (ip: string): string {
+    return `zone${Number(ip.split('.')[3]) % this.#domains}`
+  }
+
+  #send (ip: string, targets: string[], liveness: LivenessEntry[], wantsStatus = false): void {
+    const own = status(ip, { failureDomain: this.#domainOf(ip) })
+    const digest = encodeLivenessDigest(liveness)
     const entries = decodeLivenessDigest(digest)
-    this.largestBytes = Math.max(this.largestBytes, encodeDatagram({ kind: PeerDatagramKind.Heartbeat, status: own, known: [], sightings: digest }).length)
-    for (const target of table.heartbeatTargets()) {
+    const bytes = encodeDatagram({ kind: PeerDatagramKind.Heartbeat, status: own, known: [], sightings: digest }).length
+    this.largestBytes = Math.max(this.largestBytes, bytes)
+    for (const target of targets) {
       this.sentMessages += 1
-      if (this.#random() < this.#lossShare) continue
+      if (this.#domainOf(target) !== this.#domainOf(ip)) this.farBytes += bytes
       const receiver = this.#tables.get(target)
-      receiver?.recordHeartbeat(own)
-      if (receiver === undefined) continue
+      if (receiver === undefined || this.#random() < this.#lossShare) continue
+      if (receiver.recordHeartbeat(own) || wantsStatus) this.#send(target, [ip], [])
       for (const entry of entries) receiver.mergeLiveness(entry)
     }
   }
@@ -99,8 +111,8 @@
 
 describe('heartbeats of a large fleet', () => {
   // The simulation of 300 instances takes seconds, so it checks only 8 rounds, one more than the heartbeat periods for which a status counts as live.
-  test.each([[9, 20], [88, 20], [300, 8]])('all %i instances see each other as live over %i heartbeat rounds, and each heartbeat is sent to at most max(minimum fanout, square root of the fleet size) targets', (size, rounds) => {
-    const fleet = new HeartbeatFleet(size, 0.05)
+  test.each([[9, 20, 3], [15, 20, 15], [88, 20, 4], [195, 10, 5], [300, 8, 1]])('all %i instances see each other as live over %i heartbeat rounds in %i failure domains, and each heartbeat is sent to at most max(minimum fanout, square root of the fleet size) targets', (size, rounds, domains) => {
+    const fleet = new HeartbeatFleet(size, 0.05, domains)
     fleet.runRounds(8)
     fleet.sentMessages = 0
     for (let round = 0; round < rounds; round += 1) {
@@ -112,6 +124,16 @@
     expect(fleet.largestBytes).toBeLessThan(1400)
   })
 
+  // Guards against control traffic between failure domains that grows with the fleet: each instance may send three kilobytes a second for control.
+  test.each([[88, 4], [195, 5]])('%i instances in %i failure domains send at most three heartbeats a round to other ones, and no digest to all at the start', (size, domains) => {
+    const fleet = new HeartbeatFleet(size, 0.05, domains)
+    fleet.runRounds(4)
+    expect(fleet.farBytes / size / size).toBeLessThan(800)
+    fleet.farBytes = 0
+    fleet.runRounds(4)
+    expect(fleet.farBytes / size / 4).toBeLessThanOrEqual(3 * 1400)
+  })
+
   test('liveness entries passed on by others do not keep a dead instance live', () => {
     const fleet = new HeartbeatFleet(88, 0)
     fleet.runRounds(20)
--- a/test/gateway/store-watcher.test.ts
+++ b/test/gateway/store-watcher.test.ts
@@ -7,7 +7,7 @@
 const historyLost: StoreError = { kind: StoreErrorKind.HistoryLost, detail: 'compacted' }
 
 /** Runs a watcher on a store whose watch calls return the scripted results in turn, and whose listings are of the scripted eras, or else of era 1; resolves when all of them have been used. */
-async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], eras = [], announcements = [], watchMs = 0 }: { listed?: StoreChange[], eras?: number[], announcements?: Array<StoreError | null>, watchMs?: number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
+async function watchStore (watches: Array<StoreListing | StoreError>, { listed = [], eras = [], announcements = [], watchMs = 0, needs = [], knownEra = () => 0 }: { listed?: StoreChange[], eras?: number[], announcements?: Array<StoreError | null>, watchMs?: number, needs?: boolean[], knownEra?: () => number } = {}): Promise<{ events: string[], announced: number, lines: string[] }> {
   const events: string[] = []
   let announced = 0
   let revision = 10
@@ -37,6 +37,8 @@
     log,
     random: () => 0,
     nowMs: () => clock.ms,
+    isNeeded: () => needs.shift() ?? true,
+    knownEra,
     onListing: (listing) => events.push(`listing ${listing.revision}`),
     onChange: (change: StoreChange, { revision: reached }) => events.push(`${change.kind} ${reached}`),
     onReachability: (reached) => events.push(reached ? 'reached' : 'lost')
@@ -74,6 +76,20 @@
     expect((await watchStore([{ era: 1, revision: 12, changes: [] }], { announcements: [unreachable] })).announced).toBe(2)
   })
 
+  // Guards against an instance that continues its own old position after its peers have passed on only a part of the changes since.
+  test('makes no calls while it is not needed, and then reads a new listing', async () => {
+    const { events, announced } = await watchStore([], { listed: [{ kind: StoreChangeKind.Instance, ip: '1' }], needs: [false, false, false, true] })
+    expect(events).toEqual(['listing 10', 'reached', 'listing 11', 'watch after 11'])
+    expect(announced).toBe(0)
+  })
+
+  // Guards against servers of a lost history that stay in force at the instances that do not watch the store.
+  test('lists the entries of a new era that it learns of while it is not needed', async () => {
+    let calls = 0
+    const { events } = await watchStore([], { listed: [{ kind: StoreChangeKind.Instance, ip: '1' }], eras: [1, 2, 2], needs: [false, false, true], knownEra: () => (calls += 1) > 2 ? 2 : 1 })
+    expect(events).toEqual(['listing 10', 'reached', 'listing 11', 'listing 12', 'watch after 12'])
+  })
+
   test('writes its entry again when it was removed', async () => {
     const { announced } = await watchStore([{ era: 1, revision: 12, changes: [{ kind: StoreChangeKind.InstanceRemoved, ip: '1' }] }])
     expect(announced).toBe(2)
