--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -349,11 +349,20 @@
     const forwarded = route.kind === RouteKind.Streaming && isModelRequest ? forwardStream(this.#forwardingContext, pending) : forwardPlain(this.#forwardingContext, pending)
     forwarded.catch((error: unknown) => {
       this.#options.log.error('request.fault', { request: request.id, detail: error instanceof Error ? String(error.stack) : String(error) })
-      // The fault may have occurred after the request was written, so it can't be said that it has not run.
-      pending.refuse(GatewayRefusal.OutcomeUnknown)
+      this.#endAfterFault(pending)
     })
   }
 
+  /** The fault may have occurred after the request was written, so it can't be said that it has not run. */
+  #endAfterFault (pending: PendingRequest): void {
+    try {
+      pending.refuse(GatewayRefusal.OutcomeUnknown)
+    } catch (error) {
+      this.#options.log.error('request.fault', { request: pending.request.id, detail: String(error) })
+      pending.abort(GatewayRefusal.OutcomeUnknown)
+    }
+  }
+
   /** Begins the shutdown: the instance is no longer ready, is not listed in the directory and coordinates no service. Requests that may end before `exitMs` are still served. */
   stop (exitMs = Infinity): void {
     this.#stopping = true
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -113,13 +113,13 @@
 
 function startPeriodicTasks (options: RunOptions): void {
   const { gateway, log } = options
-  setInterval(() => gateway.heartbeats.sendPeriodic(), HEARTBEAT_MS)
-  setInterval(() => gateway.sendReports(), REPORT_PERIOD_MS)
+  setInterval(() => guarded(log, 'heartbeat', () => gateway.heartbeats.sendPeriodic()), HEARTBEAT_MS)
+  setInterval(() => guarded(log, 'reports', () => gateway.sendReports()), REPORT_PERIOD_MS)
   let limits: CallerLimits | null = null
   let busy = false
   let timer: NodeJS.Timeout | undefined
   const tick = (): void => {
-    gateway.tick()
+    guarded(log, 'tick', () => gateway.tick())
     const currentLimits = gateway.configuration?.limits ?? null
     if (currentLimits !== null && currentLimits !== limits) options.applyLimits(currentLimits)
     limits = currentLimits
@@ -149,6 +149,15 @@
   }, SNAPSHOT_CHECK_MS)
 }
 
+/** Runs a periodic task; an error in it is logged and ends neither the process nor the later runs. */
+function guarded (log: Log, task: string, run: () => void): void {
+  try {
+    run()
+  } catch (error) {
+    log.error('process.fault', { task, detail: error instanceof Error ? String(error.stack) : String(error) })
+  }
+}
+
 /** Finishes the accepted requests, refuses those that may not end in time and, after ACCEPT_AFTER_STOP_MS, all new ones, and exits within the grace period. */
 async function shutDown (options: RunOptions, storeWatcher: StoreWatcher): Promise<void> {
   const { gateway, settings, log } = options
