--- a/src/gateway/backlog.ts
+++ b/src/gateway/backlog.ts
@@ -1,7 +1,7 @@
 /** Factor by which the capacity of a service may be larger than estimated: a request is refused early only if it can't be placed in time even then. */
 const CAPACITY_MARGIN = 1.25
 
-/** Least share of its capacity that a service is taken to have left for late and returning requests. */
+/** Least share of its capacity that a service is taken to have left for returning requests. */
 const MIN_SPARE_SHARE = 0.2
 
 /** Retry delay while the capacity of a service is unknown, in milliseconds. */
@@ -19,28 +19,13 @@
 export interface ServiceLoad {
   /** Requests that the runners can serve. */
   capacityPerS: number
-  /** Arrivals at present. */
-  arrivalsPerS: number
   /** Arrivals over a longer time. */
   usualArrivalsPerS: number
 }
 
-/** Place of a request among those that wait. */
-export interface QueuePlace {
-  /** Number of requests before it that can still be on time. */
-  onTimeAhead: number
-  /** Number of requests before it that are late. */
-  lateAhead: number
-  /** Whether the request is late itself: then requests that arrive meanwhile go before it. */
-  isLate: boolean
-}
-
-/** Time until runners can take a waiting request, in milliseconds; Infinity without capacity. */
-export function expectedWaitMs ({ capacityPerS, arrivalsPerS }: ServiceLoad, { onTimeAhead, lateAhead, isLate }: QueuePlace): number {
-  const usablePerS = capacityPerS * CAPACITY_MARGIN
-  // A burst that takes all capacity may end at any time, so some of it is always counted on.
-  const ratePerS = isLate ? Math.max(usablePerS - arrivalsPerS, capacityPerS * MIN_SPARE_SHARE) : usablePerS
-  return (onTimeAhead + (isLate ? lateAhead : 0) + 1) / ratePerS * MS_PER_SECOND
+/** Shortest time until runners can take a request behind this number of others, in milliseconds: that of a load that ends now. Infinity without capacity. */
+export function shortestWaitMs ({ capacityPerS }: ServiceLoad, ahead: number): number {
+  return (ahead + 1) / (capacityPerS * CAPACITY_MARGIN) * MS_PER_SECOND
 }
 
 /** Tells refused callers when to return: one after the other at the rate that the runners have to spare, after the requests that wait now. */
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -1,4 +1,4 @@
-import { Backlog, expectedWaitMs, type ServiceLoad } from './backlog.js'
+import { Backlog, type ServiceLoad, shortestWaitMs } from './backlog.js'
 import { type BackendServer, incarnationOf, RunnerRole } from './backend.js'
 import type { BackendTable } from './backend-table.js'
 import type { EngineConfiguration } from './configuration.js'
@@ -344,13 +344,11 @@
     const load = this.#loadOf(service)
     if (load === null) return
     const nowMs = this.#options.nowMs()
-    const place = { onTimeAhead: 0, lateAhead: 0 }
+    let ahead = 0
     for (const waiting of [...this.#waiting.values()].filter(({ request }) => request.service === service).sort((a, b) => simpleRankMs(a, nowMs) - simpleRankMs(b, nowMs))) {
-      const isLate = waiting.objectiveMs <= nowMs
       const isReturning = waiting.firstRequestedMs < waiting.arrivedMs
-      if (!isReturning && expectedWaitMs(load, { ...place, isLate }) > waiting.expiresMs - nowMs) this.#refuseWaiting(waiting, this.#shortageOf(service))
-      else if (isLate) place.lateAhead += 1
-      else place.onTimeAhead += 1
+      if (!isReturning && shortestWaitMs(load, ahead) > waiting.expiresMs - nowMs) this.#refuseWaiting(waiting, this.#shortageOf(service))
+      else ahead += 1
     }
   }
 
@@ -359,7 +357,7 @@
     const mix = this.requestMix(service)
     if (mix === null) return null
     const capacityPerS = poolCapacity(this.#availableRunners(service, RunnerRole.Prefill).length, this.#availableRunners(service, RunnerRole.Decode).length, mix)
-    return { capacityPerS, arrivalsPerS: this.#requests.currentRate(service), usualArrivalsPerS: this.#requests.meanRate(service) }
+    return { capacityPerS, usualArrivalsPerS: this.#requests.meanRate(service) }
   }
 
   #hasDecodeRunner (service: string): boolean {
