Share the runners while all instances start, and let low speeds go

In the second after the start each of six instances takes itself for the coordinator and places requests on an empty view: 22 runs on memory for eleven, and nothing is placed for two seconds. The prompts of all at one prefill runner make it look slow; as the speed of queued prompts counted before others and a slow runner gets no queue, it stayed slow: 27 requests waited for it with eleven runs.

Change: an instance that is not ready fills only its share of the memory among the live ones, and instances that place without knowing of each other take equal runners in random order. A prefill speed is the higher one of the medians of queued and of other prompts. Fifteen steps with one number of runs are enough to know a decode speed.

Tests: runner-speeds; load-patterns/restart-of-all with 6, 9 and 195 instances.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -115,12 +115,12 @@
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
-    this.#scheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
+    this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
     this.#coordinatedServices = new CoordinatedServices({ ip: settings.ip, instances: this.instances, canCoordinate: () => !this.#stopping, onGain: () => this.#scheduler.warmUpFor(COORDINATOR_WARM_UP_MS), log })
     this.orderTokenIssuer = new OrderTokenIssuer({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
     this.#roleRebalancer = new RoleRebalancer({ backends: this.backends, backendClient: options.backendClient, tokenIssuer: this.orderTokenIssuer, holder: settings.id, requestMix: (service) => this.#scheduler.requestMix(service), demand: (service) => this.#scheduler.demand(service), roleChangeMs: (service) => engine(service)?.roleChangeMs ?? 0, load: (backend) => this.#scheduler.load(backend), isPaused: (backend) => this.pauses.isPaused(backend), log, nowMs })
-    this.#localScheduler = new PlacementScheduler({ nowMs, backends: this.backends, engine, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
+    this.#localScheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, placesBlindly: () => true, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
     this.heartbeats = new Heartbeats({ instances: this.instances, status: () => this.status(), sendReminders: (ips) => this.#sendReminders(ips), send: options.send, random: options.random })
     this.#storeView = this.#createStoreView()
     this.storeRelay = this.#createStoreRelay()
@@ -264,6 +264,11 @@
     if (applied.length + deferred.length > 0) log.info('settings.reloaded', { applied: applied.join() || 'none', atNextStart: deferred.join() || 'none' })
   }
 
+  /** While instances start, each may take itself for the coordinator, so each fills only an equal share of the runners' memory. */
+  #memoryFillShare (): number {
+    return this.ready ? MEMORY_FILL_SHARE : MEMORY_FILL_SHARE / (1 + this.instances.live().length)
+  }
+
   isChangingRole (id: string): boolean {
     return this.#roleRebalancer.isChanging(id)
   }
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -73,6 +73,9 @@
   isChangingRole?: (id: string) => boolean
   /** Share of each decode runner's memory that this scheduler may fill; `MEMORY_FILL_SHARE` by default. */
   memoryFillShare?: () => number
+  /** Whether other instances may place requests on the same runners without knowing of each other: then equal runners are taken in random order. */
+  placesBlindly?: () => boolean
+  random?: () => number
   /** Permits for runners that limit their requests; without it, no runner has a limit. */
   permits?: RunnerPermits
   /** Called when a request has to wait for a placement. */
@@ -282,6 +285,7 @@
       return { backend, freeAtMs, tokensPerMs }
     })
     const decode = this.#availableRunners(service, RunnerRole.Decode).map((backend) => ({ backend, forecast: () => this.#runs.forecastOf(backend.id) }))
+    if (this.#options.placesBlindly?.() === true) for (const runners of [prefill, decode]) rotate(runners, this.#options.random ?? Math.random)
     return new RunnerPool({ prefill, decode, slots: engine.slots, nowMs, ...(permits === undefined ? {} : { mayTake: (backend) => permits.isAvailable(backend) }) })
   }
 
@@ -422,6 +426,11 @@
   }
 }
 
+/** Moves a random number of runners to the end. */
+function rotate (runners: unknown[], random: () => number): void {
+  runners.push(...runners.splice(0, Math.floor(random() * runners.length)))
+}
+
 /** Whether the first event can be sent before the objective if the request is placed now. */
 function canBeOnTime ({ request, objectiveMs }: WaitingRequest, pool: RunnerPool, nowMs: number): boolean {
   const promptMs = pool.prefillTimeMs(request.promptTokens) ?? request.promptTokens / DECODE_PREFILL_TOKENS_PER_MS
--- a/src/gateway/runner-speeds.ts
+++ b/src/gateway/runner-speeds.ts
@@ -13,7 +13,7 @@
 const MAX_SERVICE_PREFILLS = 60
 
 /** Number of measured steps that are kept for each number of runs: those under a heavy load stay known while the load is low. */
-const MAX_STEPS_PER_RUNS = 9
+const MAX_STEPS_PER_RUNS = 15
 
 /** Number of measured prefills from which a service's prefill speed counts as known. */
 const MIN_SERVICE_PREFILLS = 5
@@ -110,11 +110,13 @@
   return { alone: new RecentValues<number>({ maxValues }), queued: new RecentValues<number>({ maxValues }) }
 }
 
-/** The median speed of queued prompts if there are enough of them, else that of all; null if there are too few of either. */
+/**
+ * The higher one of the median speeds of queued and of other prompts; null if there are too few of either. Latency lowers the one, prompts of
+ * other instances lower the other, and neither would show again that a runner has become faster once it is given few prompts.
+ */
 function speedOf (speeds: PrefillSpeeds | undefined, minPrefills: number): number | null {
-  if (speeds === undefined) return null
-  if (speeds.queued.count >= minPrefills) return medianOf(speeds.queued.all())
-  return speeds.alone.count >= minPrefills ? medianOf(speeds.alone.all()) : null
+  const medians = [speeds?.queued, speeds?.alone].flatMap((values) => values !== undefined && values.count >= minPrefills ? [medianOf(values.all())] : [])
+  return medians.length === 0 ? null : Math.max(...medians)
 }
 
 function medianStep (steps: readonly DecodeStep[]): DecodeStep {
