Weigh the limits of runners in role changes

Three decode runners and a prefill runner accept one request a second each; the old code had made one of two prefill runners without a limit a decode runner before the traffic, on assumptions, and so had one decode runner without a limit by chance.

Change: where a runner has a limit, the change with the highest capacity is sought among the single changes, each runner counting with no more than it accepts. Without limits, nothing changes.

--- a/src/gateway/role-balance.ts
+++ b/src/gateway/role-balance.ts
@@ -54,6 +54,8 @@
   changeMs?: number
   /** Minimum factor by which the change must raise the capacity, if that is higher than usual. */
   minGain?: number
+  /** Requests per second that a runner accepts; Infinity without a limit. */
+  limitPerS?: (backend: BackendServer) => number
 }
 
 /** Requests per second that pools with these numbers of runners can serve; 0 without decode runners. */
@@ -77,21 +79,51 @@
  * The next role change towards the split of runners with the highest capacity for the mix; null if no split gains enough, or if the change would
  * cost more requests than it serves additionally. It changes the least loaded runner of the pool that shrinks.
  */
-export function bestRoleChange ({ runners, mix, load, demand = null, changeMs = 0, minGain = 0 }: RoleChangeOptions): RoleChange | null {
+export function bestRoleChange (options: RoleChangeOptions): RoleChange | null {
+  const { runners, mix, demand = null, changeMs = 0, minGain = 0, limitPerS = () => Infinity } = options
   const prefill = runners.filter(({ stage }) => stage === RunnerRole.Prefill)
   const decode = runners.filter(({ stage }) => stage === RunnerRole.Decode)
+  const best = runners.some((backend) => limitPerS(backend) < Infinity) ? bestLimitedChange(prefill, decode, options) : bestUnlimitedChange(prefill, decode, options)
+  if (best === null) return null
+  const { backend, role, capacityPerS } = best
+  const others = (pool: BackendServer[]): BackendServer[] => pool.filter((other) => other !== backend)
+  const capacity = {
+    before: limitedCapacity(prefill, decode, mix, limitPerS),
+    during: limitedCapacity(others(prefill), others(decode), mix, limitPerS),
+    after: capacityPerS
+  }
+  return isWorthwhile(capacity, demand, changeMs, minGain) ? { backend, role } : null
+}
+
+type PossibleChange = RoleChange & { capacityPerS: number }
+
+/** The first step to the best split of runners without limits, with the capacity of that split. */
+function bestUnlimitedChange (prefill: BackendServer[], decode: BackendServer[], { mix, load }: RoleChangeOptions): PossibleChange | null {
   const best = bestSplit(prefill.length, decode.length, mix)
   if (best.prefillCount === prefill.length) return null
   const role = best.prefillCount < prefill.length ? RunnerRole.Decode : RunnerRole.Prefill
-  const shrinkingPool = role === RunnerRole.Decode ? prefill : decode
-  const capacity = {
-    before: poolCapacity(prefill.length, decode.length, mix),
-    during: role === RunnerRole.Decode ? poolCapacity(prefill.length - 1, decode.length, mix) : poolCapacity(prefill.length, decode.length - 1, mix),
-    after: best.capacity
+  const backend = (role === RunnerRole.Decode ? prefill : decode).toSorted((a, b) => load(a) - load(b))[0]
+  return backend === undefined ? null : { backend, role, capacityPerS: best.capacity }
+}
+
+/** The single change with the highest capacity among runners that accept different rates: a runner without a limit serves better where the others are limited. */
+function bestLimitedChange (prefill: BackendServer[], decode: BackendServer[], { mix, load, limitPerS = () => Infinity }: RoleChangeOptions): PossibleChange | null {
+  let best: PossibleChange | null = null
+  const consider = (backend: BackendServer, role: RoleChange['role'], capacityPerS: number): void => {
+    if (best === null || capacityPerS > best.capacityPerS || (capacityPerS === best.capacityPerS && load(backend) < load(best.backend))) best = { backend, role, capacityPerS }
   }
-  if (!isWorthwhile(capacity, demand, changeMs, minGain)) return null
-  const backend = shrinkingPool.toSorted((a, b) => load(a) - load(b))[0]
-  return backend === undefined ? null : { backend, role }
+  for (const backend of prefill.length > 1 ? prefill : []) consider(backend, RunnerRole.Decode, limitedCapacity(prefill.filter((other) => other !== backend), [...decode, backend], mix, limitPerS))
+  for (const backend of decode.length > 1 ? decode : []) consider(backend, RunnerRole.Prefill, limitedCapacity([...prefill, backend], decode.filter((other) => other !== backend), mix, limitPerS))
+  return best
+}
+
+/** Requests per second that these runners can serve if each serves no more than it accepts. */
+function limitedCapacity (prefill: BackendServer[], decode: BackendServer[], mix: RequestMix, limitPerS: (backend: BackendServer) => number): number {
+  if (decode.length === 0) return 0
+  const acceptedPerS = (pool: BackendServer[], eachPerS: number): number => pool.reduce((sum, backend) => sum + Math.min(eachPerS, limitPerS(backend)), 0)
+  const decodePerS = acceptedPerS(decode, poolCapacity(Infinity, 1, mix))
+  if (prefill.length === 0) return Math.min(decodePerS, poolCapacity(0, decode.length, mix))
+  return Math.min(decodePerS, acceptedPerS(prefill, poolCapacity(1, Infinity, mix)))
 }
 
 /** The role change of a service that has lost all decode runners; it needs no measurement, as nothing is served before. Null for any other service. */
--- a/src/gateway/role-rebalancer.ts
+++ b/src/gateway/role-rebalancer.ts
@@ -40,6 +40,8 @@
   demand?: (service: string) => Demand | null
   /** Time that a runner of a service needs to change its role, in milliseconds. */
   roleChangeMs?: (service: string) => number
+  /** Requests per second that a runner accepts; no limit by default. */
+  limitPerS?: (backend: BackendServer) => number
   /** Total tokens of the runs on a runner; the least loaded runner changes its role. */
   load: (backend: BackendServer) => number
   /** Whether the runner has turned this instance away for a time. */
@@ -134,10 +136,10 @@
   }
 
   #nextChange (service: string, runners: BackendServer[], mix: RequestMix | null): RoleChange | null {
-    const { load, demand, roleChangeMs } = this.#options
+    const { load, demand, roleChangeMs, limitPerS } = this.#options
     if (mix === null) return restoringRoleChange(runners, load)
     const changeMs = (roleChangeMs?.(service) ?? 0) + mix.outputTokens * mix.msPerToken
-    const options = { runners, mix, load, demand: demand?.(service) ?? null, changeMs }
+    const options = { runners, mix, load, demand: demand?.(service) ?? null, changeMs, ...(limitPerS === undefined ? {} : { limitPerS }) }
     const change = bestRoleChange(options)
     return change !== null && this.#reversesLastOrder(service, change, runners.length) ? bestRoleChange({ ...options, minGain: MIN_REVERSAL_GAIN }) : change
   }
--- a/test/gateway/role-balance.test.ts
+++ b/test/gateway/role-balance.test.ts
@@ -35,6 +35,28 @@
   })
 })
 
+describe('bestRoleChange with runners that limit their requests', () => {
+  const limitsOf = (limits: Record<string, number>) => ({ id }: BackendServer): number => limits[id] ?? Infinity
+  const change = (prefill: number, decode: number, limits: Record<string, number>): string => {
+    const best = bestRoleChange({ runners: runners(prefill, decode), mix: longOutputs, load: () => 0, demand: { currentPerS: 7, peakPerS: 7 }, changeMs: 10_000, limitPerS: limitsOf(limits) })
+    return best === null ? 'none' : `${best.backend.id} to ${best.role}`
+  }
+
+  // Guards against prefill runners without a limit beside decode runners that accept a fraction of the requests.
+  test('makes a prefill runner without a limit a decode runner when all decode runners are limited', () => {
+    expect(change(3, 3, { decode0: 1, decode1: 1, decode2: 1, prefill0: 1 })).toMatch(/^prefill[12] to decode$/)
+  })
+
+  test.each([
+    ['nothing when the limits are above what the runners can serve', 2, 4, { decode0: 50, prefill0: 50 }, 'none'],
+    ['the prefill runner that is least missed', 2, 3, { decode0: 1, decode1: 1, decode2: 1, prefill0: 1 }, 'prefill0 to decode'],
+    ['towards equal pools when every runner is limited alike, as each request needs both', 2, 4, Object.fromEntries(runners(2, 4).map(({ id }) => [id, 2])), 'decode0 to prefill'],
+    ['nothing when the pools are equal then', 3, 3, Object.fromEntries(runners(3, 3).map(({ id }) => [id, 2])), 'none']
+  ])('changes %s', (_name, prefill, decode, limits, expected) => {
+    expect(change(prefill, decode, limits)).toBe(expected)
+  })
+})
+
 describe('poolCapacity', () => {
   test('is the capacity of the decode pool while the prefill pool keeps up', () => {
     const runMs = longOutputs.outputTokens * longOutputs.msPerToken
