Bound the bytes of all requests and answers together

Callers saw: their connections closed without an answer, all of one instance at once. A process of 178 MB, the smallest of the users, ran out of memory and was killed.

Cause: each limit bounded one exchange and none their sum. An answer of a plain service was held whole, up to 8 MB, so some dozen answers without end filled the process; an upload was held up to BodyBytes on each connection, and a complete answer until its caller had read it. The chunks of a body were kept in a list, so that a chunk of one byte occupied more than a hundred.

Change: BufferBudget counts what each exchange keeps, from the first byte of the upload until the caller has the answer. When the sum exceeds 0.15 of the instance's memory (setting memoryMb), the exchange with the most bytes ends: 503 if it has not run, 502 if it may have, or its connection is closed if the answer was on its way. Sound exchanges are small, so an answer without end can't displace them.

--- /dev/null
+++ b/src/gateway/buffer-budget.ts
@@ -0,0 +1,114 @@
+import type { Log } from '../logs/log.js'
+
+/** Share of the memory of an instance that its buffers may occupy; the rest is for the heap, for the code and for buffers that are not collected yet. */
+const BUFFER_SHARE = 0.15
+
+const BYTES_PER_MB = 1024 * 1024
+
+/** Bytes that all exchanges may keep in buffers on an instance with this much memory. */
+export function bufferLimitBytes (memoryMb: number): number {
+  return memoryMb * BYTES_PER_MB * BUFFER_SHARE
+}
+
+interface BufferBudgetOptions {
+  /** Largest sum of the bytes of all holds. */
+  limitBytes: number
+  log: Log
+  /** Called for each exchange that had to give up its buffers. */
+  onEvict?: () => void
+}
+
+/** The bytes that one exchange keeps in buffers, as a part of the budget of its process. */
+export class BufferHold {
+  readonly #budget: BufferBudget
+  readonly #name: string
+  #bytes = 0
+  #evicted = false
+  /** Called once when the budget is exceeded and no hold is larger; it has to end the exchange, so that its buffers can be freed. */
+  onEvict: () => void = () => {}
+
+  constructor (options: { budget: BufferBudget, name: string }) {
+    this.#budget = options.budget
+    this.#name = options.name
+  }
+
+  /** What the bytes belong to, for logs. */
+  get name (): string {
+    return this.#name
+  }
+
+  get bytes (): number {
+    return this.#bytes
+  }
+
+  /** Whether the exchange had to give up its buffers. Bytes that are added afterwards do not count. */
+  get evicted (): boolean {
+    return this.#evicted
+  }
+
+  /** Adds bytes, or takes some off if the number is negative. Returns false if the exchange has had to give up its buffers. */
+  add (bytes: number): boolean {
+    if (this.#evicted) return false
+    this.#bytes += bytes
+    this.#budget.recordChange(this, bytes)
+    return !this.#evicted
+  }
+
+  /** Takes all bytes off. */
+  release (): void {
+    const bytes = this.#bytes
+    this.#bytes = 0
+    if (bytes > 0) this.#budget.recordChange(this, -bytes)
+  }
+
+  /** Takes all bytes off and ends the exchange. */
+  evict (): void {
+    this.release()
+    this.#evicted = true
+    this.onEvict()
+  }
+}
+
+/** Bounds the bytes that all exchanges of the process keep in buffers together. When they exceed the limit, the largest exchange is ended, so that a few answers without end can't displace the small ones of other callers. */
+export class BufferBudget {
+  readonly #limitBytes: number
+  readonly #log: Log
+  readonly #onEvict: () => void
+  /** The holds that have bytes. */
+  readonly #holds = new Set<BufferHold>()
+  #heldBytes = 0
+
+  constructor (options: BufferBudgetOptions) {
+    this.#limitBytes = options.limitBytes
+    this.#log = options.log
+    this.#onEvict = options.onEvict ?? (() => {})
+  }
+
+  /** Sum of the bytes of all holds. */
+  get heldBytes (): number {
+    return this.#heldBytes
+  }
+
+  get limitBytes (): number {
+    return this.#limitBytes
+  }
+
+  hold (name: string): BufferHold {
+    return new BufferHold({ budget: this, name })
+  }
+
+  /** Records a change of a hold; called by the hold itself. */
+  recordChange (hold: BufferHold, bytes: number): void {
+    this.#heldBytes += bytes
+    if (hold.bytes > 0) this.#holds.add(hold)
+    else this.#holds.delete(hold)
+    if (this.#heldBytes > this.#limitBytes) this.#evictLargest()
+  }
+
+  #evictLargest (): void {
+    const largest = [...this.#holds].reduce((a, b) => b.bytes > a.bytes ? b : a)
+    this.#log.warn('buffers.exceeded', { evicted: largest.name, bytes: largest.bytes, heldBytes: this.#heldBytes, limitBytes: this.#limitBytes, holds: this.#holds.size })
+    this.#onEvict()
+    largest.evict()
+  }
+}
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -1,3 +1,4 @@
+import type { BufferHold } from './buffer-budget.js'
 import type { ResponseHead } from './http-exchange.js'
 import type { GatewayRefusal } from './refusal.js'
 
@@ -37,6 +38,8 @@
 
 /** Sends the response to one request of a caller. */
 export interface Responder {
+  /** The bytes that this process keeps for the request: its body, and the response until the caller has it. */
+  readonly buffers: BufferHold
   /** Sends the head of a server's response. */
   writeHead: (head: ResponseHead) => void
   /** Sends a part of the body. Returns false when the caller reads too slowly; the writer should then wait for `onDrain`. */
--- a/src/gateway/explain-request.ts
+++ b/src/gateway/explain-request.ts
@@ -18,6 +18,7 @@
   [GatewayRefusal.CrashingPrompt]: 'A part of its prompt is quarantined since runners crashed with it; the request did not run. prompt.quarantined names the part and the requests that led to it.',
   [GatewayRefusal.RateLimited]: 'All servers of the service limit their requests and have used up their limits; the request did not run. See send.limited and limit.named.',
   [GatewayRefusal.Paused]: 'All servers of the service have turned this instance away for a time; the request did not run. See send.paused and server.paused.',
+  [GatewayRefusal.OutOfMemory]: 'The buffers of all requests of the instance exceeded their limit and this one had the largest; the request did not run. See buffers.exceeded.',
   [GatewayRefusal.Rejected]: 'Servers stated that they did not run it, and no attempt or retry was left.',
   [GatewayRefusal.Stopping]: 'The instance was shutting down; the request did not run.',
   [GatewayRefusal.TimedOutBeforeRun]: 'Its time limit passed before it was sent to a server.',
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -167,10 +167,10 @@
   else log.debug('prompt.free-withheld', { server: kvCache.server.id })
 }
 
-/** Refuses a request that has timed out, or that runs when the process is about to exit. If `sending` is true, a server has not responded completely yet and may have run the request. */
-export function refuseAtTimeout (pending: PendingRequest, sending: boolean): void {
+/** Refuses a request that has to end now. If `sending` is true, a server has not responded completely yet and may have run the request. */
+export function refuseAtTimeout (pending: PendingRequest, sending: boolean, refusalIfNotRun: GatewayRefusal): void {
   const mayHaveRun = pending.mayHaveRun || sending
   if (pending.remainingMs() <= 0) pending.refuse(mayHaveRun ? GatewayRefusal.TimedOut : GatewayRefusal.TimedOutBeforeRun)
   else if (mayHaveRun) pending.refuse(GatewayRefusal.OutcomeUnknown)
-  else pending.refuse(GatewayRefusal.Stopping, RETRY_ELSEWHERE_MS)
+  else pending.refuse(refusalIfNotRun, RETRY_ELSEWHERE_MS)
 }
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -4,6 +4,11 @@
 const MS_PER_SECOND = 1000
 const MICROSECONDS_PER_SECOND = 1_000_000
 
+/** A gauge whose value is computed when it is read. */
+function computedGauge ({ value, ...options }: { name: string, help: string, registers: Registry[], value: () => number }): Gauge {
+  return new Gauge({ ...options, collect () { this.set(value()) } })
+}
+
 /** Metrics of one gateway process, in a registry of its own. */
 export class GatewayMetrics {
   readonly registry = new Registry()
@@ -24,52 +29,26 @@
   readonly leavingServers: Gauge
   readonly pausedSends: Counter
   readonly pausedServers: Gauge
+  readonly bufferedBytes: Gauge
+  readonly evictedExchanges: Counter
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
     this.configurationVersion = new Gauge({ name: 'daisybarrow_gateway_configuration_version', help: 'Version of the configuration in force', registers })
     this.droppedLines = new Counter({ name: 'daisybarrow_gateway_dropped_log_lines_total', help: 'Log lines dropped to keep the volume bounded', registers })
-    this.inFlight = new Gauge({
-      name: 'daisybarrow_gateway_requests_in_flight',
-      help: 'Requests without a final answer',
-      registers,
-      collect () { this.set(options.inFlight?.() ?? 0) }
-    })
-    this.configurationBehind = new Gauge({
-      name: 'daisybarrow_gateway_configuration_behind_seconds',
-      help: 'Time since a configuration newer than the active one became known in seconds',
-      registers,
-      collect () { this.set((options.configurationBehindMs?.() ?? 0) / MS_PER_SECOND) }
-    })
-    this.quarantinedParts = new Gauge({
-      name: 'daisybarrow_gateway_quarantined_prompt_parts',
-      help: 'Parts of prompts that are quarantined because runners crashed with them',
-      registers,
-      collect () { this.set(options.quarantinedParts?.() ?? 0) }
-    })
+    this.inFlight = computedGauge({ name: 'daisybarrow_gateway_requests_in_flight', help: 'Requests without a final answer', registers, value: () => options.inFlight?.() ?? 0 })
+    this.configurationBehind = computedGauge({ name: 'daisybarrow_gateway_configuration_behind_seconds', help: 'Time since a configuration newer than the active one became known in seconds', registers, value: () => (options.configurationBehindMs?.() ?? 0) / MS_PER_SECOND })
+    this.quarantinedParts = computedGauge({ name: 'daisybarrow_gateway_quarantined_prompt_parts', help: 'Parts of prompts that are quarantined because runners crashed with them', registers, value: () => options.quarantinedParts?.() ?? 0 })
     this.staleSends = new Counter({ name: 'daisybarrow_gateway_stale_sends_total', help: 'Sends withheld because the server had left after it was chosen', registers })
     this.limitedSends = new Counter({ name: 'daisybarrow_gateway_limited_sends_total', help: 'Sends withheld because the limit of the server was used up', registers })
-    this.limitedServers = new Gauge({
-      name: 'daisybarrow_gateway_limited_servers',
-      help: 'Servers that limit the number of their requests',
-      registers,
-      collect () { this.set(options.limitedServers?.() ?? 0) }
-    })
-    this.leavingServers = new Gauge({
-      name: 'daisybarrow_gateway_leaving_servers',
-      help: 'Servers that have said in their answers that they leave',
-      registers,
-      collect () { this.set(options.leavingServers?.() ?? 0) }
-    })
+    this.limitedServers = computedGauge({ name: 'daisybarrow_gateway_limited_servers', help: 'Servers that limit the number of their requests', registers, value: () => options.limitedServers?.() ?? 0 })
+    this.leavingServers = computedGauge({ name: 'daisybarrow_gateway_leaving_servers', help: 'Servers that have said in their answers that they leave', registers, value: () => options.leavingServers?.() ?? 0 })
     this.pausedSends = new Counter({ name: 'daisybarrow_gateway_paused_sends_total', help: 'Sends withheld because the server had turned this instance away for a time', registers })
-    this.pausedServers = new Gauge({
-      name: 'daisybarrow_gateway_paused_servers',
-      help: 'Servers that have turned this instance away for a time',
-      registers,
-      collect () { this.set(options.pausedServers?.() ?? 0) }
-    })
+    this.pausedServers = computedGauge({ name: 'daisybarrow_gateway_paused_servers', help: 'Servers that have turned this instance away for a time', registers, value: () => options.pausedServers?.() ?? 0 })
+    this.bufferedBytes = computedGauge({ name: 'daisybarrow_gateway_buffered_bytes', help: 'Bytes that all exchanges keep in buffers', registers, value: () => options.bufferedBytes?.() ?? 0 })
+    this.evictedExchanges = new Counter({ name: 'daisybarrow_gateway_evicted_exchanges_total', help: 'Exchanges ended because the buffers of all together exceeded their limit', registers })
     this.processorSeconds = new Counter({
       name: 'process_cpu_seconds_total',
       help: 'Processor time spent in seconds',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -2,6 +2,9 @@
 
 const address = z.string().regex(/^[^:]+:\d+$/).describe('IP number and port')
 
+/** Memory of the smallest instance that is supported, in MB. */
+const DEFAULT_MEMORY_MB = 160
+
 /** Settings of `daisybarrow-gateway`. */
 export const gatewaySettingsSchema = z.object({
   id: z.string().min(1).describe('Id of this instance'),
@@ -20,6 +23,7 @@
     share: z.number().positive().default(1).describe('Share of a core that this instance may use'),
     speed: z.number().positive().default(1).describe('Speed of that core, as a multiple of the usual one')
   }).prefault({}).describe('The instances with the largest share times speed coordinate the placement of requests'),
+  memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB).describe('Memory that this instance may use, in MB'),
   orderTurnMs: z.number().positive().default(3000).describe('Time within which two instances may not both give orders to a runner, in milliseconds'),
   drainMs: z.number().positive().default(2000).describe('Time for which a server takes requests after it has said that it leaves, in milliseconds'),
   graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -383,7 +383,7 @@
   /** Ends all requests, because the process is about to exit; the answers say whether a request may have run. */
   endPendingRequests (): void {
     this.#startupQueue.refuseAll()
-    for (const pending of [...this.#pendingRequests]) pending.onTimeout()
+    for (const pending of [...this.#pendingRequests]) pending.onTimeout(GatewayRefusal.Stopping)
   }
 
   dump (): unknown {
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -1,6 +1,8 @@
 import { Agent, type ClientRequestArgs, type IncomingMessage, request as httpRequest, type ClientRequest } from 'node:http'
 import { connect, type NetConnectOpts, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
+import type { BufferHold } from './buffer-budget.js'
+import { ByteCollector } from './byte-collector.js'
 import { ExchangeOutcome } from './exchange-outcome.js'
 
 /** Longest wait for a new connection, in milliseconds. Connecting usually takes about 1 ms, and TCP resends a lost SYN only after 1 s. */
@@ -213,22 +215,43 @@
   })
 }
 
-/** Reads the complete response body; null if it is incomplete, exceeds the limit or does not end within `timeoutMs` milliseconds. Then the connection is closed. */
-export function readBody ({ message, isComplete }: ResponseHead, limitBytes: number, timeoutMs: number | null = null): Promise<Buffer | null> {
+interface BodyOptions {
+  /** Largest body, in bytes. */
+  limitBytes: number
+  /** Counts the bytes of the body; they stay counted once it is complete. */
+  buffers: BufferHold
+  /** Longest time until the end of the body, in milliseconds; without it, the body may take as long as its request. */
+  timeoutMs?: number
+}
+
+/** Reads the complete response body; null if it is incomplete, exceeds a limit or takes too long. Then the connection is closed. */
+export function readBody ({ message, isComplete }: ResponseHead, { limitBytes, buffers, timeoutMs }: BodyOptions): Promise<Buffer | null> {
   return new Promise((resolve) => {
-    const chunks: Buffer[] = []
-    let sizeBytes = 0
-    if (timeoutMs !== null) {
+    let countedBytes = 0
+    const body = new ByteCollector({
+      onGrowth: (bytes) => {
+        countedBytes += bytes
+        return buffers.add(bytes)
+      }
+    })
+    const fail = (): void => {
+      body.clear()
+      if (!buffers.evicted) buffers.add(-countedBytes)
+      countedBytes = 0
+      resolve(null)
+    }
+    if (timeoutMs !== undefined) {
       const timer = setTimeout(() => message.destroy(), timeoutMs)
       message.on('close', () => clearTimeout(timer))
     }
     message.on('data', (chunk: Buffer) => {
-      sizeBytes += chunk.length
-      if (sizeBytes > limitBytes) message.destroy()
-      else chunks.push(chunk)
+      if (body.length + chunk.length > limitBytes || !body.push(chunk)) message.destroy()
+    })
+    message.on('end', () => {
+      if (isComplete()) resolve(body.bytes())
+      else fail()
     })
-    message.on('end', () => resolve(isComplete() ? Buffer.concat(chunks) : null))
-    message.on('error', () => resolve(null))
-    message.on('close', () => resolve(null))
+    message.on('error', fail)
+    message.on('close', () => { if (!message.readableEnded) fail() })
   })
 }
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -2,7 +2,7 @@
 import type { Route } from './configuration.js'
 import type { Exchange } from './http-exchange.js'
 import type { LogFields } from '../logs/log.js'
-import type { GatewayRefusal } from './refusal.js'
+import { GatewayRefusal } from './refusal.js'
 
 /** Extra wait past the deadline, in milliseconds. A server that stops at the deadline sends a response of its own; the gateway refuses the request only if that response does not arrive in this time. */
 const FINAL_RESPONSE_MARGIN_MS = 40
@@ -40,6 +40,7 @@
     this.#nowMs = options.nowMs
     this.#timer = setTimeout(() => this.#handleTimeout(), this.remainingMs() + FINAL_RESPONSE_MARGIN_MS)
     this.responder.onDisconnect(() => this.#finish('left'))
+    this.responder.buffers.onEvict = () => this.#handleEviction()
   }
 
   /** Fields for the log line that is written when the request ends, in addition to the usual ones. */
@@ -57,8 +58,8 @@
 
   /** How the request ended, for its log line; null while it is pending. */
   ending: string | null = null
-  /** Called when the time for the request has run out, or when the process is about to exit. */
-  onTimeout: () => void = () => {}
+  /** Called when the request has to end now: its time has run out, the process is about to exit, or it lacks the memory. With time left, a request that has not run is refused for the given reason. */
+  onTimeout: (refusalIfNotRun: GatewayRefusal) => void = () => {}
   /** Called once, after all end listeners, when the request has ended. */
   onEnd: (ending: string) => void = () => {}
 
@@ -128,7 +129,12 @@
   #handleTimeout (): void {
     if (this.#ended) return
     this.#timedOut = true
-    this.onTimeout()
+    this.onTimeout(GatewayRefusal.TimedOutBeforeRun)
+  }
+
+  #handleEviction (): void {
+    if (this.#ended) this.responder.abort()
+    else this.onTimeout(GatewayRefusal.OutOfMemory)
   }
 
   #finish (ending: string): void {
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -38,9 +38,9 @@
   let sending = false
   /** The first 5xx response; it is sent to the caller if no other server succeeds. */
   let failedResponse: CompleteResponse | null = null
-  pending.onTimeout = () => {
-    if (failedResponse !== null) sendResponse(pending, failedResponse)
-    else refuseAtTimeout(pending, sending)
+  pending.onTimeout = (refusalIfNotRun) => {
+    if (failedResponse !== null && !pending.responder.buffers.evicted) sendResponse(pending, failedResponse)
+    else refuseAtTimeout(pending, sending, refusalIfNotRun)
   }
   const triedServers = new Set<string>()
   /** Time until one of the servers may take another request, in milliseconds. */
@@ -104,7 +104,7 @@
     ownConnection: false
   })
   if (result.outcome !== ExchangeOutcome.Answered) return result
-  const body = await readBody(result.head, MAX_RESPONSE_BYTES)
+  const body = await readBody(result.head, { limitBytes: MAX_RESPONSE_BYTES, buffers: pending.responder.buffers })
   if (body !== null) return { head: result.head, body }
   if (pending.ended) chargeAtTimeout(context, pending, backend)
   else context.health.recordFailure(backend, ExchangeOutcome.Broken)
--- a/src/gateway/prompt-prefill.ts
+++ b/src/gateway/prompt-prefill.ts
@@ -126,7 +126,7 @@
     if (!backends.accepts(prefillServer) || pauseWaitMs(this.#context, pending, prefillServer) !== null) return null
     const startedMs = this.#context.nowMs()
     const result = await this.#sendOnAnyConnection(prefillServer)
-    const body = result.outcome === ExchangeOutcome.Answered ? await readBody(result.head, MAX_BODY_BYTES, Math.max(0, startedMs + PREFILL_TIMEOUT_MS - this.#context.nowMs())) : null
+    const body = result.outcome === ExchangeOutcome.Answered ? await readBody(result.head, { limitBytes: MAX_BODY_BYTES, buffers: pending.responder.buffers, timeoutMs: Math.max(0, startedMs + PREFILL_TIMEOUT_MS - this.#context.nowMs()) }) : null
     const kvCache = body === null ? null : backendClient.parsePrefillResponse(prefillServer, body)
     if (kvCache !== null) {
       this.#computedMs = this.#context.nowMs()
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -14,6 +14,8 @@
   RateLimited = 'rate-limited',
   /** Every server of the service has turned this instance away for a time. */
   Paused = 'paused',
+  /** The process keeps too many bytes for all requests together, and this one occupies most of them. */
+  OutOfMemory = 'out-of-memory',
   /** Every server that received the request rejected it without running it. */
   Rejected = 'rejected',
   /** This gateway instance is shutting down. */
@@ -37,6 +39,7 @@
   [GatewayRefusal.CrashingPrompt]: 503,
   [GatewayRefusal.RateLimited]: 503,
   [GatewayRefusal.Paused]: 503,
+  [GatewayRefusal.OutOfMemory]: 503,
   [GatewayRefusal.Rejected]: 503,
   [GatewayRefusal.Stopping]: 503,
   [GatewayRefusal.TimedOutBeforeRun]: 503,
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -87,7 +87,7 @@
   async run (): Promise<void> {
     const { placer } = this.#context
     const pending = this.#pending
-    pending.onTimeout = () => refuseAtTimeout(pending, this.#sending)
+    pending.onTimeout = (refusalIfNotRun) => refuseAtTimeout(pending, this.#sending, refusalIfNotRun)
     pending.whenEnded(() => this.#prefill.freeUnused())
     for (;;) {
       if (this.#refuseIfQuarantined()) return
@@ -317,7 +317,7 @@
   /** Sends a runner's failure to the caller once it is complete: after the head alone, an incomplete one could only be aborted. */
   async #passOnFailure (head: ResponseHead): Promise<ExchangeOutcome.Broken | null> {
     const pending = this.#pending
-    const body = await readBody(head, MAX_BUFFERED_BODY_BYTES)
+    const body = await readBody(head, { limitBytes: MAX_BUFFERED_BODY_BYTES, buffers: pending.responder.buffers })
     if (pending.ended) return null
     if (body === null) return ExchangeOutcome.Broken
     pending.markHeadSent()
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -9,6 +9,9 @@
 import { FaultyLink } from './faulty-link.js'
 import type { SoakLedger } from './soak-ledger.js'
 
+/** Limit of the heap in the deploy file, in MB. */
+const HEAP_MB = 90
+
 const PORTS = { callers: 7101, readiness: 7102, directory: 7103, peers: 7104, metrics: 7105, store: 7106, runner: 7107 }
 
 interface SoakFleetOptions {
@@ -19,6 +22,8 @@
   ledger: SoakLedger
   /** Time from SIGTERM to SIGKILL in the settings of the instances, in seconds. */
   graceS?: number
+  /** Memory of each instance, in MB; their heaps are limited as in the deploy file. */
+  memoryMb?: number
 }
 
 export interface SoakInstance {
@@ -131,9 +136,10 @@
       storeAddress: `${ip}:${PORTS.store}`,
       seeds: [this.#ip(10)],
       graceS: this.#options.graceS ?? 8,
+      memoryMb: this.#options.memoryMb,
       repeats: { ratio: 0.2, slack: 60, windowS: 10 }
     }))
-    const child = spawn(process.execPath, ['target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, 'target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this.#options.folder, `${ip}.log`), { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -3,6 +3,7 @@
 import { PassThrough } from 'node:stream'
 import { type BackendServer, ServerState, RunnerRole } from '../../src/gateway/backend.js'
 import { type BackendClient, type SendOptions, ResponseMeaning, type OrderOutcome, type KvCacheHandle, type RoleOrder, type RunnerState } from '../../src/gateway/backend-client.js'
+import { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
 import { type Configuration, type Route, RouteKind } from '../../src/gateway/configuration.js'
 import type { Exchange, ExchangeFailure, ResponseHead } from '../../src/gateway/http-exchange.js'
@@ -57,6 +58,10 @@
   return { lines, debug: line, info: line, warn: line, error: line }
 }
 
+export function unboundedBuffers (): BufferBudget {
+  return new BufferBudget({ limitBytes: Infinity, log: recordingLog() })
+}
+
 /** Records the response that a caller would receive. */
 export class RecordingResponder implements Responder {
   status: number | null = null
@@ -64,6 +69,7 @@
   ending: 'ended' | 'aborted' | 'refused' | null = null
   refusal: GatewayRefusal | null = null
   retryAfterMs: number | null = null
+  readonly buffers = unboundedBuffers().hold('caller')
   readonly #disconnectEmitter = new EventEmitter()
 
   writeHead (head: ResponseHead): void { this.status = head.status }
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -2,6 +2,7 @@
 import { type AddressInfo, createServer, type Server, type Socket } from 'node:net'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import { HttpExchangeClient, isFailure, readBody } from '../../src/gateway/http-exchange.js'
+import { unboundedBuffers } from './gateway-fixtures.js'
 
 const LIMIT_BYTES = 1024
 
@@ -34,7 +35,7 @@
 
 async function bodyOf (head: Head): Promise<string | null> {
   if (isFailure(head)) throw new Error(head.detail)
-  return (await readBody(head, LIMIT_BYTES))?.toString() ?? null
+  return (await readBody(head, { limitBytes: LIMIT_BYTES, buffers: unboundedBuffers().hold('server') }))?.toString() ?? null
 }
 
 describe('HttpExchangeClient', () => {
--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -6,7 +6,7 @@
 import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
 import type { ResponseHead } from '../../src/gateway/http-exchange.js'
 import { GatewayRefusal } from '../../src/gateway/refusal.js'
-import { recordingLog } from '../gateway/gateway-fixtures.js'
+import { recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
 let server: Server | undefined
 
@@ -17,6 +17,7 @@
   server = createCallerListener({
     serve: options.serve,
     limits: () => ({ headerBytes: 1000, bodyBytes: 10, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }),
+    buffers: unboundedBuffers(),
     stopping: () => options.stopping ?? false,
     log: recordingLog(),
     nowMs: () => 0
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -10,7 +10,7 @@
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
 import { createCallerListener } from '../../platform/caller-listener.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, configuration, recordingLog, route } from '../gateway/gateway-fixtures.js'
+import { backend, configuration, recordingLog, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
 /** A gateway instance between real connections: of callers on one side, of servers on the other. */
 export interface HttpGateway {
@@ -109,6 +109,7 @@
   const callers = createCallerListener({
     serve: (request, responder) => gateway.serve(request, responder),
     limits: () => gateway.configuration?.limits ?? null,
+    buffers: unboundedBuffers(),
     stopping: () => gateway.stopping,
     log,
     nowMs
