--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -2,6 +2,7 @@
 import type { Server as HttpServer } from 'node:http'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { RunnerRole } from '../../src/gateway/backend.js'
+import type { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
@@ -79,7 +80,7 @@
 }
 
 /** Starts an instance with one server of a plain service, which `/once/` reaches at most once and `/again/` repeatedly, and one runner of a model without prefill, which `/stream/` reaches. */
-export async function startGateway (address: string): Promise<HttpGateway> {
+export async function startGateway (address: string, { buffers = unboundedBuffers() }: { buffers?: BufferBudget } = {}): Promise<HttpGateway> {
   const nowMs = (): number => performance.now()
   const log = recordingLog()
   const exchanges = new HttpExchangeClient()
@@ -109,7 +110,7 @@
   const callers = createCallerListener({
     serve: (request, responder) => gateway.serve(request, responder),
     limits: () => gateway.configuration?.limits ?? null,
-    buffers: unboundedBuffers(),
+    buffers,
     stopping: () => gateway.stopping,
     log,
     nowMs
--- /dev/null
+++ b/test/platform/waiting-requests.test.ts
@@ -0,0 +1,35 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { BufferBudget } from '../../src/gateway/buffer-budget.js'
+import { recordingLog } from '../gateway/gateway-fixtures.js'
+import { answerTo, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
+
+let server: ScriptedServer | undefined
+let instance: HttpGateway | undefined
+
+afterEach(() => {
+  instance?.close()
+  server?.close()
+})
+
+const delay = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms))
+
+const statusLines = (text: string): string[] => text.match(/HTTP\/1\.1 \d+/g) ?? []
+
+describe('a request that waits behind another one on its connection', () => {
+  // Guards against requests that run although their refusal, which says that they have not run, is already on its way.
+  test('does not run once it had to give up its buffers', async () => {
+    server = await startServer((socket, head) => { setTimeout(() => socket.write(answerTo(head)), 150) })
+    const buffers = new BufferBudget({ limitBytes: 5000, log: recordingLog() })
+    instance = await startGateway(server.address, { buffers })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }))
+    while (buffers.heldBytes < 3000) await delay(5)
+    const other = instance.call()
+    other.socket.write(requestBytes('q3', '/once/x', { method: 'POST', body: 'b'.repeat(2900) }))
+    await other.until('ok')
+    await caller.until('out-of-memory')
+    await delay(200)
+    expect([server.received.map(requestIdOf), statusLines(caller.text())]).toEqual([['q1', 'q3'], ['HTTP/1.1 200', 'HTTP/1.1 503']])
+    expect([instance.log.lines.filter((line) => line.startsWith('request.fault')), buffers.heldBytes]).toEqual([[], 0])
+  })
+})
