Don't serve a request that gave up its buffers before the first configuration

Callers saw: a 503, though a server ran the request afterwards; or the whole instance ended.

Cause: a request that waits for the first configuration can be refused because it occupies the most bytes of the exceeded budget. It stayed in the queue: the configuration then served it, or, after 600 ms, its timer refused it again, where writing a second head throws in a timer and so ends the process.

Evidence: test/gateway/startup-queue "refuses a request that has to give up its buffers, and does not serve it afterwards" fails on: served ['a'], refused []; expected the reverse.

Change: giving up its buffers takes the request out of the queue. The test passes.

--- a/src/gateway/startup-queue.ts
+++ b/src/gateway/startup-queue.ts
@@ -41,6 +41,8 @@
     const waiting: WaitingRequest = { request, responder, timer: setTimeout(() => this.#refuse(waiting), MAX_WAIT_MS) }
     this.#waiting.add(waiting)
     responder.onDisconnect(() => this.#remove(waiting))
+    // A request that was refused for its bytes must not be served when the configuration arrives.
+    responder.buffers.onEvict = () => this.#refuse(waiting)
   }
 
   /** Serves the requests in the order of their arrival. */
--- a/test/gateway/startup-queue.test.ts
+++ b/test/gateway/startup-queue.test.ts
@@ -58,6 +58,17 @@
     expect([served, refused]).toEqual([[], ['b']])
   })
 
+  // Guards against requests that run, or are refused again, after they gave up their buffers and were refused with 503.
+  test('refuses a request that has to give up its buffers, and does not serve it afterwards', () => {
+    const { queue, served, refused } = createQueue()
+    const responder = new RecordingResponder()
+    queue.add(callerRequest({ id: 'a' }), responder)
+    responder.buffers.evict()
+    queue.release()
+    jest.advanceTimersByTime(1000)
+    expect([served, refused, queue.size]).toEqual([[], ['a'], 0])
+  })
+
   // Guards against memory that grows with the callers of an outage of the store.
   test('refuses at once beyond its limit', () => {
     const { queue, refused } = createQueue()
