--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -1,6 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import type { Socket } from 'node:net'
-import { applyLimits } from '../../platform/caller-listener.js'
 import { configuration } from '../gateway/gateway-fixtures.js'
 import { answerTo, gatewayConfiguration, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
 
@@ -75,7 +74,7 @@
     waiting.socket.write(requestBytes('q1', '/once/slow'))
     uploading.socket.write(bytes.slice(0, -3))
     arriving.socket.write(bytes.slice(0, 20))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
     await delay(1400)
     uploading.socket.write(bytes.slice(-3))
     arriving.socket.write(bytes.slice(20))
@@ -86,11 +85,11 @@
   // Guards against connections that are closed while callers may still reuse them under the limit that they know.
   test('keeps an idle connection as long as the limit allowed when its last answer was sent', async () => {
     const { instance } = await start((socket, head) => socket.write(answerTo(head)))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, idleTimeoutMs: 2000 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, idleTimeoutMs: 2000 })
     const caller = instance.call()
     caller.socket.write(requestBytes('q1', '/once/x'))
     await caller.until('ok')
-    applyLimits(instance.callers, { ...gatewayConfiguration(3).limits, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(3).limits, idleTimeoutMs: 100 })
     await delay(1600)
     caller.socket.write(requestBytes('q2', '/once/x'))
     await caller.until('X-Request-Id: q2')
@@ -129,7 +128,7 @@
     const caller = instance.call()
     caller.socket.pause()
     caller.socket.write(requestBytes('q1', path, { method: 'POST', headers: streamHeaders }))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
     await delay(1400)
     caller.socket.resume()
     const text = await caller.until('end\n\n')
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -1,5 +1,4 @@
 import { once } from 'node:events'
-import type { Server as HttpServer } from 'node:http'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { RunnerRole } from '../../src/gateway/backend.js'
 import type { BufferBudget } from '../../src/gateway/buffer-budget.js'
@@ -9,7 +8,7 @@
 import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
 import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
-import { createCallerListener } from '../../platform/caller-listener.js'
+import { type CallerServer, createCallerListener } from '../../platform/caller-listener.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
 import { backend, configuration, recordingLog, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
@@ -17,7 +16,7 @@
 export interface HttpGateway {
   gateway: Gateway
   exchanges: HttpExchangeClient
-  callers: HttpServer
+  callers: CallerServer
   log: ReturnType<typeof recordingLog>
   /** Opens a connection of a caller. */
   call: () => CallerConnection
