--- a/test/platform/idle-connections.test.ts
+++ b/test/platform/idle-connections.test.ts
@@ -27,6 +27,12 @@
   return await caller.until(`X-Request-Id: ${id}`)
 }
 
+/** Keeps the event loop from running, as a frozen process does. */
+function freeze (ms: number): void {
+  const endMs = performance.now() + ms
+  while (performance.now() < endMs);
+}
+
 describe('an idle connection', () => {
   // Guards against requests that are cut because a connection that was idle already is closed after the old limit.
   test('is kept for a raised limit', async () => {
@@ -61,6 +67,18 @@
     expect(await send(caller, 'q2')).toContain('X-Request-Id: q2')
   }, 10_000)
 
+  // Guards against requests that had arrived while the process was frozen, and are cut as its timers run before it reads them.
+  test('is kept if a request has arrived while the process was frozen past the limit', async () => {
+    const instance = await start()
+    setIdleLimit(instance, 200)
+    const caller = instance.call()
+    await send(caller, 'q1')
+    await delay(900)
+    caller.socket.write(requestBytes('q2', '/once/x'))
+    freeze(600)
+    expect(await caller.until('X-Request-Id: q2')).toContain('X-Request-Id: q2')
+  })
+
   // Guards against connections that are never closed, and against a close before the time that callers know.
   test('is closed somewhat later than the limit', async () => {
     const instance = await start()
