--- a/test/platform/waiting-requests.test.ts
+++ b/test/platform/waiting-requests.test.ts
@@ -33,3 +33,19 @@
     expect([instance.log.lines.filter((line) => line.startsWith('request.fault')), buffers.heldBytes]).toEqual([[], 0])
   })
 })
+
+describe('requests on one connection', () => {
+  // Guards against stops that last for the whole grace period and against bytes that count for ever, because a queued response never ends.
+  test('are forgotten when the connection is closed, also those that wait', async () => {
+    server = await startServer(() => {})
+    const buffers = new BufferBudget({ limitBytes: 50_000, log: recordingLog() })
+    instance = await startGateway(server.address, { buffers })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }) + requestBytes('q3', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }).slice(0, -5))
+    while (buffers.heldBytes < 5000) await delay(5)
+    expect(instance.callers.unsentResponses).toBe(3)
+    caller.socket.destroy()
+    await delay(100)
+    expect([instance.callers.unsentResponses, buffers.heldBytes, instance.gateway.inFlight]).toEqual([0, 0, 0])
+  })
+})
