--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -214,6 +214,20 @@
     expect([caller.text().match(/HTTP\/1\.1 .*/g), caller.closedBy()]).toEqual([['HTTP/1.1 200 OK'], 'fin'])
   })
 
+  // Guards against a 408 and a close although the rest of the head had arrived: after a pause of the process, timers run before sockets are read.
+  test('are not taken for a slow head if the rest has arrived by then', async () => {
+    const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
+    const caller = instance.call()
+    const connected = new Promise<Socket>((resolve) => instance.callers.once('connection', resolve))
+    const bytes = requestBytes('q1', '/once/x')
+    caller.socket.write(bytes.slice(0, 20))
+    const socket = await connected
+    await delay(50)
+    caller.socket.write(bytes.slice(20))
+    instance.callers.emit('clientError', Object.assign(new Error('too slow'), { code: 'ERR_HTTP_REQUEST_TIMEOUT' }), socket)
+    expect(await caller.until('ok')).toMatch(/^HTTP\/1\.1 200 OK[^]*ok$/)
+  })
+
   test('are refused and logged if no request runs', async () => {
     const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
     const caller = instance.call()
