Test that no request runs after a 408

A request head that is completed while its 408 is being sent must not run, as the 408 says that it never will.

--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -228,6 +228,22 @@
     expect(await caller.until('ok')).toMatch(/^HTTP\/1\.1 200 OK[^]*ok$/)
   })
 
+  // Guards against requests that run after a 408, which says that they have not run and never will.
+  test('do not run if their head is completed while the 408 is being sent', async () => {
+    const { server, instance } = await start((socket, head) => { socket.write(answerTo(head)) })
+    const caller = instance.call()
+    const connected = new Promise<Socket>((resolve) => instance.callers.once('connection', resolve))
+    const bytes = requestBytes('q1', '/once/x')
+    caller.socket.write(bytes.slice(0, 20))
+    const socket = await connected
+    await delay(50)
+    instance.callers.emit('clientError', Object.assign(new Error('too slow'), { code: 'ERR_HTTP_REQUEST_TIMEOUT' }), socket)
+    setImmediate(() => caller.socket.write(bytes.slice(20)))
+    await caller.until('no such text')
+    await delay(50)
+    expect([caller.text().slice(0, 12), server.received.length, instance.callers.unsentResponses]).toEqual(['HTTP/1.1 408', 0, 0])
+  })
+
   test('are refused and logged if no request runs', async () => {
     const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
     const caller = instance.call()
