--- a/test/platform/waiting-requests.test.ts
+++ b/test/platform/waiting-requests.test.ts
@@ -49,3 +49,36 @@
     expect([instance.callers.unsentResponses, buffers.heldBytes, instance.gateway.inFlight]).toEqual([0, 0, 0])
   })
 })
+
+describe('a request that is refused while it is uploaded', () => {
+  // Guards against refusals that a caller who reads only after it has written never gets, because its further bytes reset the connection.
+  test('gets the refusal although it still sends when the refusal is written', async () => {
+    server = await startServer(() => {})
+    instance = await startGateway(server.address)
+    const caller = instance.call()
+    caller.socket.pause()
+    caller.socket.write('POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\nContent-Length: 2000000\r\n\r\n')
+    for (let part = 0; part < 40; part += 1) {
+      caller.socket.write(Buffer.alloc(50_000))
+      await delay(10)
+    }
+    caller.socket.resume()
+    await caller.until('no such text')
+    expect([statusLines(caller.text()), caller.text().includes('body-too-large'), caller.closedBy()]).toEqual([['HTTP/1.1 413'], true, 'fin'])
+  })
+
+  // Guards against connections that are kept for callers who send without end after they have been refused.
+  test('is cut if it is still sent long after the refusal', async () => {
+    server = await startServer(() => {})
+    instance = await startGateway(server.address)
+    const caller = instance.call()
+    caller.socket.write('POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n')
+    const parts = setInterval(() => { if (!caller.socket.destroyed) caller.socket.write(`186a0\r\n${'a'.repeat(100_000)}\r\n`) }, 10)
+    const startedMs = performance.now()
+    await caller.until('no such text')
+    clearInterval(parts)
+    expect(statusLines(caller.text())).toEqual(['HTTP/1.1 413'])
+    expect(performance.now() - startedMs).toBeLessThan(3000)
+    expect(instance.callers.unsentResponses).toBe(0)
+  })
+})
