--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -1,6 +1,5 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import type { Socket } from 'node:net'
-import { applyLimits } from '../../platform/caller-listener.js'
 import { configuration } from '../gateway/gateway-fixtures.js'
 import { answerTo, gatewayConfiguration, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
 
@@ -75,7 +74,7 @@
     waiting.socket.write(requestBytes('q1', '/once/slow'))
     uploading.socket.write(bytes.slice(0, -3))
     arriving.socket.write(bytes.slice(0, 20))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
     await delay(1400)
     uploading.socket.write(bytes.slice(-3))
     arriving.socket.write(bytes.slice(20))
@@ -86,11 +85,11 @@
   // Guards against connections that are closed while callers may still reuse them under the limit that they know.
   test('keeps an idle connection as long as the limit allowed when its last answer was sent', async () => {
     const { instance } = await start((socket, head) => socket.write(answerTo(head)))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, idleTimeoutMs: 2000 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, idleTimeoutMs: 2000 })
     const caller = instance.call()
     caller.socket.write(requestBytes('q1', '/once/x'))
     await caller.until('ok')
-    applyLimits(instance.callers, { ...gatewayConfiguration(3).limits, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(3).limits, idleTimeoutMs: 100 })
     await delay(1600)
     caller.socket.write(requestBytes('q2', '/once/x'))
     await caller.until('X-Request-Id: q2')
@@ -129,7 +128,7 @@
     const caller = instance.call()
     caller.socket.pause()
     caller.socket.write(requestBytes('q1', path, { method: 'POST', headers: streamHeaders }))
-    applyLimits(instance.callers, { ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
+    instance.callers.applyLimits({ ...gatewayConfiguration(2).limits, headerTimeoutMs: 100, idleTimeoutMs: 100 })
     await delay(1400)
     caller.socket.resume()
     const text = await caller.until('end\n\n')
@@ -215,6 +214,36 @@
     expect([caller.text().match(/HTTP\/1\.1 .*/g), caller.closedBy()]).toEqual([['HTTP/1.1 200 OK'], 'fin'])
   })
 
+  // Guards against a 408 and a close although the rest of the head had arrived: after a pause of the process, timers run before sockets are read.
+  test('are not taken for a slow head if the rest has arrived by then', async () => {
+    const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
+    const caller = instance.call()
+    const connected = new Promise<Socket>((resolve) => instance.callers.once('connection', resolve))
+    const bytes = requestBytes('q1', '/once/x')
+    caller.socket.write(bytes.slice(0, 20))
+    const socket = await connected
+    await delay(50)
+    caller.socket.write(bytes.slice(20))
+    instance.callers.emit('clientError', Object.assign(new Error('too slow'), { code: 'ERR_HTTP_REQUEST_TIMEOUT' }), socket)
+    expect(await caller.until('ok')).toMatch(/^HTTP\/1\.1 200 OK[^]*ok$/)
+  })
+
+  // Guards against requests that run after a 408, which says that they have not run and never will.
+  test('do not run if their head is completed while the 408 is being sent', async () => {
+    const { server, instance } = await start((socket, head) => { socket.write(answerTo(head)) })
+    const caller = instance.call()
+    const connected = new Promise<Socket>((resolve) => instance.callers.once('connection', resolve))
+    const bytes = requestBytes('q1', '/once/x')
+    caller.socket.write(bytes.slice(0, 20))
+    const socket = await connected
+    await delay(50)
+    instance.callers.emit('clientError', Object.assign(new Error('too slow'), { code: 'ERR_HTTP_REQUEST_TIMEOUT' }), socket)
+    setImmediate(() => caller.socket.write(bytes.slice(20)))
+    await caller.until('no such text')
+    await delay(50)
+    expect([caller.text().slice(0, 12), server.received.length, instance.callers.unsentResponses]).toEqual(['HTTP/1.1 408', 0, 0])
+  })
+
   test('are refused and logged if no request runs', async () => {
     const { instance } = await start((socket, head) => { socket.write(answerTo(head)) })
     const caller = instance.call()
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -1,14 +1,14 @@
 import { once } from 'node:events'
-import type { Server as HttpServer } from 'node:http'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { RunnerRole } from '../../src/gateway/backend.js'
+import type { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
 import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
-import { createCallerListener } from '../../platform/caller-listener.js'
+import { type CallerServer, createCallerListener } from '../../platform/caller-listener.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
 import { backend, configuration, recordingLog, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
@@ -16,7 +16,7 @@
 export interface HttpGateway {
   gateway: Gateway
   exchanges: HttpExchangeClient
-  callers: HttpServer
+  callers: CallerServer
   log: ReturnType<typeof recordingLog>
   /** Opens a connection of a caller. */
   call: () => CallerConnection
@@ -79,7 +79,7 @@
 }
 
 /** Starts an instance with one server of a plain service, which `/once/` reaches at most once and `/again/` repeatedly, and one runner of a model without prefill, which `/stream/` reaches. */
-export async function startGateway (address: string): Promise<HttpGateway> {
+export async function startGateway (address: string, { buffers = unboundedBuffers() }: { buffers?: BufferBudget } = {}): Promise<HttpGateway> {
   const nowMs = (): number => performance.now()
   const log = recordingLog()
   const exchanges = new HttpExchangeClient()
@@ -109,7 +109,7 @@
   const callers = createCallerListener({
     serve: (request, responder) => gateway.serve(request, responder),
     limits: () => gateway.configuration?.limits ?? null,
-    buffers: unboundedBuffers(),
+    buffers,
     stopping: () => gateway.stopping,
     log,
     nowMs
--- /dev/null
+++ b/test/platform/waiting-requests.test.ts
@@ -0,0 +1,84 @@
+import { afterEach, describe, expect, test } from '@jest/globals'
+import { BufferBudget } from '../../src/gateway/buffer-budget.js'
+import { recordingLog } from '../gateway/gateway-fixtures.js'
+import { answerTo, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
+
+let server: ScriptedServer | undefined
+let instance: HttpGateway | undefined
+
+afterEach(() => {
+  instance?.close()
+  server?.close()
+})
+
+const delay = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms))
+
+const statusLines = (text: string): string[] => text.match(/HTTP\/1\.1 \d+/g) ?? []
+
+describe('a request that waits behind another one on its connection', () => {
+  // Guards against requests that run although their refusal, which says that they have not run, is already on its way.
+  test('does not run once it had to give up its buffers', async () => {
+    server = await startServer((socket, head) => { setTimeout(() => socket.write(answerTo(head)), 150) })
+    const buffers = new BufferBudget({ limitBytes: 5000, log: recordingLog() })
+    instance = await startGateway(server.address, { buffers })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }))
+    while (buffers.heldBytes < 3000) await delay(5)
+    const other = instance.call()
+    other.socket.write(requestBytes('q3', '/once/x', { method: 'POST', body: 'b'.repeat(2900) }))
+    await other.until('ok')
+    await caller.until('out-of-memory')
+    await delay(200)
+    expect([server.received.map(requestIdOf), statusLines(caller.text())]).toEqual([['q1', 'q3'], ['HTTP/1.1 200', 'HTTP/1.1 503']])
+    expect([instance.log.lines.filter((line) => line.startsWith('request.fault')), buffers.heldBytes]).toEqual([[], 0])
+  })
+})
+
+describe('requests on one connection', () => {
+  // Guards against stops that last for the whole grace period and against bytes that count for ever, because a queued response never ends.
+  test('are forgotten when the connection is closed, also those that wait', async () => {
+    server = await startServer(() => {})
+    const buffers = new BufferBudget({ limitBytes: 50_000, log: recordingLog() })
+    instance = await startGateway(server.address, { buffers })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }) + requestBytes('q3', '/once/x', { method: 'POST', body: 'b'.repeat(3000) }).slice(0, -5))
+    while (buffers.heldBytes < 5000) await delay(5)
+    expect(instance.callers.unsentResponses).toBe(3)
+    caller.socket.destroy()
+    await delay(100)
+    expect([instance.callers.unsentResponses, buffers.heldBytes, instance.gateway.inFlight]).toEqual([0, 0, 0])
+  })
+})
+
+describe('a request that is refused while it is uploaded', () => {
+  // Guards against refusals that a caller who reads only after it has written never gets, because its further bytes reset the connection.
+  test('gets the refusal although it still sends when the refusal is written', async () => {
+    server = await startServer(() => {})
+    instance = await startGateway(server.address)
+    const caller = instance.call()
+    caller.socket.pause()
+    caller.socket.write('POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\nContent-Length: 2000000\r\n\r\n')
+    for (let part = 0; part < 40; part += 1) {
+      caller.socket.write(Buffer.alloc(50_000))
+      await delay(10)
+    }
+    caller.socket.resume()
+    await caller.until('no such text')
+    expect([statusLines(caller.text()), caller.text().includes('body-too-large'), caller.closedBy()]).toEqual([['HTTP/1.1 413'], true, 'fin'])
+  })
+
+  // Guards against connections that are kept for callers who send without end after they have been refused.
+  test('is cut if it is still sent long after the refusal', async () => {
+    server = await startServer(() => {})
+    instance = await startGateway(server.address)
+    const caller = instance.call()
+    caller.socket.write('POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: q1\r\nTransfer-Encoding: chunked\r\n\r\n')
+    const parts = setInterval(() => { if (!caller.socket.destroyed) caller.socket.write(`186a0\r\n${'a'.repeat(100_000)}\r\n`) }, 10)
+    const startedMs = performance.now()
+    await caller.until('no such text')
+    clearInterval(parts)
+    expect(statusLines(caller.text())).toEqual(['HTTP/1.1 413'])
+    expect(performance.now() - startedMs).toBeLessThan(3000)
+    expect(instance.callers.unsentResponses).toBe(0)
+  })
+})
