Keep a silent server's exchange while a request is sent to another one

Callers saw: a refusal (502) or another server's failure in place of an answer that was on its way, when the server of a request that may be repeated was silent for a second.

Cause: forwardPlain cancelled the exchange after six times the usual latency (200 ms at least) if another server was listed. Attempts, retry budget, limit and pause of that server were asked only afterwards, and its failure ended the request.

Change: after that time the request is sent to another server as well, if attempts, limit, pause and retry budget allow it. The first complete success is the response and ends the other exchange; a failure of one waits for the other; with no other server the first exchange goes on until the deadline. The silent server is recorded as before, so that other requests avoid it. A retry is consumed only at the send; before, it was consumed also when no other server was found. Log: send.silent, send.kept.

Two tests asserted the time after which an exchange was cancelled; they are replaced by tests of what the caller gets and what the servers get.

--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,6 +1,6 @@
 import { type BackendServer, RunnerRole } from './backend.js'
-import { mayRunTwice, ExchangeOutcome } from './exchange-outcome.js'
-import { chargeAtTimeout, sendWaitMs, refuseWithheld, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult, tryConsumeRetry } from './forwarding.js'
+import { mayRunTwice, mayTryOtherServer, ExchangeOutcome } from './exchange-outcome.js'
+import { chargeAtTimeout, sendWaitMs, refuseWithheld, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
 import { GatewayRefusal } from './refusal.js'
@@ -8,11 +8,11 @@
 /** Largest response body of a plain service that is buffered, in bytes; typical bodies have a few kilobytes. */
 const MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
-/** Head timeout of a retryable request, as a multiple of the server's average latency; after it, the request is sent to another server. */
-const HEAD_TIMEOUT_LATENCY_FACTOR = 6
+/** Silence after which another server is sought for a request that may run twice, as a multiple of the server's average latency. */
+const SILENCE_LATENCY_FACTOR = 6
 
-/** Shortest head timeout of a retryable request, in milliseconds. */
-const MIN_HEAD_TIMEOUT_MS = 200
+/** Shortest silence after which another server is sought, in milliseconds; also the shortest time until the next search. */
+const MIN_SILENCE_MS = 200
 
 /** Lowest `Retry-After` of a refusal, in milliseconds; a random addition of up to the same amount keeps callers from retrying all at once. */
 const MIN_RETRY_AFTER_MS = 150
@@ -33,47 +33,208 @@
 
 type AttemptResult = CompleteResponse | Exclude<SendResult, { outcome: ExchangeOutcome.Answered }>
 
-/** Forwards a request to a plain service. The response is buffered until it is complete, so that a failed retryable request can be sent to another server. */
+/** Why a request is not sent to one more server. */
+enum SendObstacle {
+  /** The route allows no more servers. */
+  Attempts = 'attempts',
+  /** The retry budget of the service is exhausted. */
+  RetryBudget = 'retry-budget',
+  /** The limits of the other servers are used up, or they have turned this instance away. */
+  Withheld = 'withheld',
+  /** No other server is ready. */
+  NoServer = 'no-server'
+}
+
+/**
+ * Forwards a request to a plain service. The response is buffered until it is complete, so that a failed retryable request can be sent to another server.
+ * A server that is silent may only be pausing, so it goes on with a request that is sent to another one meanwhile; the first complete success is the response.
+ */
 export async function forwardPlain (context: ForwardingContext, pending: PendingRequest): Promise<void> {
-  let sending = false
+  await new PlainForwarder(context, pending).run()
+}
+
+class PlainForwarder {
+  readonly #context: ForwardingContext
+  readonly #pending: PendingRequest
+  /** Ids of the servers to which the request was sent, or to which no connection was established. */
+  readonly #triedServers = new Set<string>()
+  /** The servers from which a response may still arrive. */
+  readonly #awaited = new Set<BackendServer>()
+  /** Those of them whose response has begun. */
+  readonly #answering = new Set<BackendServer>()
+  /** The servers that have been recorded as silent. */
+  readonly #silent = new Set<BackendServer>()
+  /** Sends that consume no retry: the first one, and one in place of each that was withheld or found no connection. */
+  #freeSends = 1
+  #seeking = false
+  #silenceTimer: NodeJS.Timeout | undefined
+  #lastObstacle: SendObstacle | null = null
   /** The first 5xx response; it is sent to the caller if no other server succeeds. */
-  let failedResponse: CompleteResponse | null = null
-  pending.onTimeout = (refusalIfNotRun) => {
-    if (failedResponse !== null && !pending.responder.buffers.evicted) sendResponse(pending, failedResponse)
-    else refuseAtTimeout(pending, sending, refusalIfNotRun)
-  }
-  const triedServers = new Set<string>()
+  #failedResponse: CompleteResponse | null = null
   /** Time until one of the servers may take another request, in milliseconds. */
-  let shortestWaitMs = Infinity
-  for (;;) {
-    const backend = chooseBackend(context, pending, triedServers)
-    if (backend === undefined) break
-    triedServers.add(backend.id)
-    const waitMs = await sendWaitMs(context, pending, backend)
-    if (pending.ended) return
-    if (waitMs !== null) {
-      shortestWaitMs = Math.min(shortestWaitMs, waitMs)
-      continue
+  #shortestWaitMs = Infinity
+  #onFault: (error: unknown) => void = () => {}
+
+  constructor (context: ForwardingContext, pending: PendingRequest) {
+    this.#context = context
+    this.#pending = pending
+  }
+
+  /** Resolves when the request has ended. */
+  run (): Promise<void> {
+    const pending = this.#pending
+    pending.onTimeout = (refusalIfNotRun) => {
+      if (this.#failedResponse !== null && !pending.responder.buffers.evicted) sendResponse(pending, this.#failedResponse)
+      else refuseAtTimeout(pending, this.#awaited.size > 0, refusalIfNotRun)
+    }
+    return new Promise((resolve, reject) => {
+      this.#onFault = reject
+      pending.whenEnded(() => {
+        clearTimeout(this.#silenceTimer)
+        resolve()
+      })
+      this.#sendNext().catch(this.#onFault)
+    })
+  }
+
+  /** Sends the request to one more server. If that is not possible, the servers that may still respond go on; without one, the request ends. */
+  async #sendNext (): Promise<void> {
+    clearTimeout(this.#silenceTimer)
+    this.#seeking = true
+    const found = this.#obstacle() ?? await this.#findServer()
+    this.#seeking = false
+    if (this.#pending.ended) return
+    if (this.#answering.size > 0) return this.#watchSilence()
+    if (typeof found === 'string') return this.#giveUpSeeking(found)
+    const obstacle = this.#takeSend()
+    if (obstacle !== null) return this.#giveUpSeeking(obstacle)
+    this.#send(found).catch(this.#onFault)
+  }
+
+  #giveUpSeeking (reason: SendObstacle): void {
+    if (this.#awaited.size === 0) return this.#endUnanswered()
+    const { request, route } = this.#pending
+    const server = [...this.#awaited].map(({ id }) => id).join()
+    if (reason !== this.#lastObstacle) this.#context.log.info('send.kept', { request: request.id, route: route.name, server, reason, ageMs: Math.round(this.#pending.ageMs()) })
+    this.#lastObstacle = reason
+    this.#watchSilence()
+  }
+
+  #obstacle (): SendObstacle | null {
+    const { sentTo, route, service } = this.#pending
+    if (sentTo.size + this.#awaited.size >= Math.max(1, route.attempts)) return SendObstacle.Attempts
+    return this.#freeSends > 0 || this.#context.retryBudget.allows(service) ? null : SendObstacle.RetryBudget
+  }
+
+  /** Chooses a server and takes a permit for one send to it. */
+  async #findServer (): Promise<BackendServer | SendObstacle> {
+    const withheld = new Set<string>()
+    for (;;) {
+      const backend = this.#chooseBackend(withheld)
+      if (backend === undefined) return withheld.size > 0 ? SendObstacle.Withheld : SendObstacle.NoServer
+      const waitMs = await sendWaitMs(this.#context, this.#pending, backend)
+      if (waitMs === null || this.#pending.ended) return backend
+      this.#shortestWaitMs = Math.min(this.#shortestWaitMs, waitMs)
+      withheld.add(backend.id)
     }
-    sending = true
-    const attempt = await sendOnce(context, pending, backend, triedServers)
+  }
+
+  #chooseBackend (withheld: Set<string>): BackendServer | undefined {
+    const { backends, health, failureDomain, random } = this.#context
+    const candidates = backends.ready(this.#pending.service, RunnerRole.None).filter(({ id }) => !this.#triedServers.has(id) && !withheld.has(id))
+    // The random part of less than 1 ms spreads requests over servers of equal cost.
+    return candidates
+      .map((backend) => ({ backend, cost: health.cost(backend, failureDomain) + random() }))
+      .sort((a, b) => a.cost - b.cost)[0]?.backend
+  }
+
+  /** Consumes a retry, unless the send is free. Returns the obstacle if there is none left. */
+  #takeSend (): SendObstacle | null {
+    if (this.#freeSends === 0) return this.#context.retryBudget.tryConsume(this.#pending.service) ? null : SendObstacle.RetryBudget
+    this.#freeSends -= 1
+    return null
+  }
+
+  async #send (backend: BackendServer): Promise<void> {
+    const pending = this.#pending
+    this.#triedServers.add(backend.id)
+    this.#awaited.add(backend)
+    this.#watchSilence()
+    const attempt = await this.#exchange(backend)
+    this.#awaited.delete(backend)
+    this.#answering.delete(backend)
     if (pending.ended) return
-    sending = false
     const hasResponse = 'body' in attempt
     if (hasResponse && attempt.head.status < FIRST_SERVER_ERROR_STATUS) return sendResponse(pending, attempt)
-    if (hasResponse) failedResponse ??= attempt
-    if (hasResponse) context.health.recordFailure(backend, ExchangeOutcome.Failed)
-    const result: SendResult = hasResponse ? { outcome: ExchangeOutcome.Failed, detail: `status ${attempt.head.status}` } : attempt
-    logFailedSend(context, pending, backend, result)
-    if (hasResponse && context.health.failureShare(backend) < FAULTY_SERVER_FAILURE_SHARE) break
-    if (!tryConsumeRetry(context, pending, result.outcome)) break
+    if (hasResponse) this.#failedResponse ??= attempt
+    if (hasResponse) this.#context.health.recordFailure(backend, ExchangeOutcome.Failed)
+    const result: Exclude<AttemptResult, CompleteResponse> = hasResponse ? { outcome: ExchangeOutcome.Failed, detail: `status ${attempt.head.status}` } : attempt
+    logFailedSend(this.#context, pending, backend, result)
+    await this.#goOnAfter(backend, result.outcome)
+  }
+
+  /** Continues after a send that failed. Another server is tried once no response can arrive any more; at once if this one was not even asked and the others are silent. */
+  async #goOnAfter (backend: BackendServer, outcome: ExchangeOutcome): Promise<void> {
+    const notSent = outcome === ExchangeOutcome.NotSent
+    if (notSent) this.#freeSends += 1
+    const othersAnswer = [...this.#awaited].some((other) => !notSent || !this.#silent.has(other))
+    if (this.#seeking || othersAnswer) return
+    const failsEverywhere = outcome === ExchangeOutcome.Failed && this.#context.health.failureShare(backend) < FAULTY_SERVER_FAILURE_SHARE
+    if (failsEverywhere || !mayTryOtherServer(this.#pending.route, outcome)) this.#endUnanswered()
+    else await this.#sendNext()
+  }
+
+  /** Sends the request to a server and reads the response. */
+  async #exchange (backend: BackendServer): Promise<AttemptResult> {
+    const pending = this.#pending
+    const deadlineMs = pending.remainingMs()
+    const result = await sendToServer(this.#context, pending, { request: pending.request, backend, deadlineMs, headTimeoutMs: deadlineMs + HEAD_TIMEOUT_MARGIN_MS, ownConnection: false })
+    if (result.outcome !== ExchangeOutcome.Answered) return result
+    this.#answering.add(backend)
+    const body = await readBody(result.head, { limitBytes: MAX_RESPONSE_BYTES, buffers: pending.responder.buffers })
+    if (body !== null) return { head: result.head, body }
+    if (pending.ended) chargeAtTimeout(this.#context, pending, backend)
+    else this.#context.health.recordFailure(backend, ExchangeOutcome.Broken)
+    return { outcome: ExchangeOutcome.Broken, detail: 'response body incomplete or too large' }
+  }
+
+  /** Seeks another server when no response has begun for some time. */
+  #watchSilence (): void {
+    clearTimeout(this.#silenceTimer)
+    const backend = [...this.#awaited].at(-1)
+    if (backend === undefined || !mayRunTwice(this.#pending.route)) return
+    const silenceMs = Math.max(MIN_SILENCE_MS, this.#context.health.latencyMs(backend) * SILENCE_LATENCY_FACTOR)
+    this.#silenceTimer = setTimeout(() => {
+      const mayHelp = this.#answering.size === 0 && this.#obstacle() !== SendObstacle.Attempts && this.#chooseBackend(new Set()) !== undefined
+      if (this.#seeking || !mayHelp) return this.#watchSilence()
+      this.#recordSilence()
+      this.#sendNext().catch(this.#onFault)
+    }, silenceMs)
+  }
+
+  /** Lets other requests avoid the silent servers. */
+  #recordSilence (): void {
+    const { health, log } = this.#context
+    const { request, route } = this.#pending
+    for (const backend of this.#awaited) {
+      if (this.#silent.has(backend)) continue
+      this.#silent.add(backend)
+      health.recordFailure(backend, ExchangeOutcome.TimedOut)
+      log.info('send.silent', { request: request.id, route: route.name, server: backend.id, ageMs: Math.round(this.#pending.ageMs()) })
+    }
+  }
+
+  /** Ends the request when no server has answered it successfully and no other one is tried. */
+  #endUnanswered (): void {
+    const { backends, pauses, random } = this.#context
+    const pending = this.#pending
+    if (this.#failedResponse !== null) return sendResponse(pending, this.#failedResponse)
+    const retryAfterMs = MIN_RETRY_AFTER_MS * (1 + random())
+    const pauseMs = pauses.shortestWaitMs(backends.ready(pending.service, RunnerRole.None))
+    if (pauseMs > 0 && pending.sentTo.size === 0) refuseWithheld(pending, GatewayRefusal.Paused, pauseMs + retryAfterMs)
+    else if (Number.isFinite(this.#shortestWaitMs)) refuseWithheld(pending, GatewayRefusal.RateLimited, this.#shortestWaitMs + retryAfterMs)
+    else refuseUnanswered(pending, pauseMs + retryAfterMs)
   }
-  if (failedResponse !== null) return sendResponse(pending, failedResponse)
-  const retryAfterMs = MIN_RETRY_AFTER_MS * (1 + context.random())
-  const pauseMs = context.pauses.shortestWaitMs(context.backends.ready(pending.service, RunnerRole.None))
-  if (pauseMs > 0 && pending.sentTo.size === 0) refuseWithheld(pending, GatewayRefusal.Paused, pauseMs + retryAfterMs)
-  else if (Number.isFinite(shortestWaitMs)) refuseWithheld(pending, GatewayRefusal.RateLimited, shortestWaitMs + retryAfterMs)
-  else refuseUnanswered(pending, pauseMs + retryAfterMs)
 }
 
 function sendResponse (pending: PendingRequest, { head, body }: CompleteResponse): void {
@@ -82,31 +243,3 @@
   pending.responder.write(body)
   pending.complete()
 }
-
-function chooseBackend ({ backends, health, failureDomain, random }: ForwardingContext, pending: PendingRequest, triedServers: Set<string>): BackendServer | undefined {
-  const candidates = backends.ready(pending.service, RunnerRole.None).filter(({ id }) => !triedServers.has(id))
-  // The random part of less than 1 ms spreads requests over servers of equal cost.
-  return candidates
-    .map((backend) => ({ backend, cost: health.cost(backend, failureDomain) + random() }))
-    .sort((a, b) => a.cost - b.cost)[0]?.backend
-}
-
-async function sendOnce (context: ForwardingContext, pending: PendingRequest, backend: BackendServer, triedServers: Set<string>): Promise<AttemptResult> {
-  const deadlineMs = pending.remainingMs()
-  // Without another server to try, giving up a slow one would only lose its response.
-  const retryable = mayRunTwice(pending.route) && pending.route.attempts > pending.sentTo.size + 1 && chooseBackend(context, pending, triedServers) !== undefined
-  const earlyTimeoutMs = Math.max(MIN_HEAD_TIMEOUT_MS, context.health.latencyMs(backend) * HEAD_TIMEOUT_LATENCY_FACTOR)
-  const result = await sendToServer(context, pending, {
-    request: pending.request,
-    backend,
-    deadlineMs,
-    headTimeoutMs: retryable ? Math.min(deadlineMs, earlyTimeoutMs) : deadlineMs + HEAD_TIMEOUT_MARGIN_MS,
-    ownConnection: false
-  })
-  if (result.outcome !== ExchangeOutcome.Answered) return result
-  const body = await readBody(result.head, { limitBytes: MAX_RESPONSE_BYTES, buffers: pending.responder.buffers })
-  if (body !== null) return { head: result.head, body }
-  if (pending.ended) chargeAtTimeout(context, pending, backend)
-  else context.health.recordFailure(backend, ExchangeOutcome.Broken)
-  return { outcome: ExchangeOutcome.Broken, detail: 'response body incomplete or too large' }
-}
--- a/src/gateway/retry-budget.ts
+++ b/src/gateway/retry-budget.ts
@@ -39,13 +39,17 @@
     this.#recentTimes(service).requests.push(this.#options.nowMs())
   }
 
-  /** Consumes one retry; false if this instance's share of the budget is exhausted. */
-  tryConsume (service: string): boolean {
+  /** Whether one more retry is within this instance's share of the budget. */
+  allows (service: string): boolean {
     const recent = this.#recentTimes(service)
     const { ratio, slack } = this.#options.allowance()
-    const allowed = USABLE_BUDGET_SHARE * (ratio * recent.requests.length + slack / Math.max(1, this.#options.instanceCount()))
-    if (recent.retries.length + 1 > allowed) return false
-    recent.retries.push(this.#options.nowMs())
+    return recent.retries.length + 1 <= USABLE_BUDGET_SHARE * (ratio * recent.requests.length + slack / Math.max(1, this.#options.instanceCount()))
+  }
+
+  /** Consumes one retry; false if this instance's share of the budget is exhausted. */
+  tryConsume (service: string): boolean {
+    if (!this.allows(service)) return false
+    this.#recentTimes(service).retries.push(this.#options.nowMs())
     return true
   }
 
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -103,6 +103,8 @@
   end?: 'whole' | 'broken' | 'open'
   /** Time between the first chunk of the body and the next one, in milliseconds. */
   pauseMs?: number
+  /** Time until the head, in milliseconds. */
+  silentMs?: number
 }
 
 /** How a scripted server reacts to one request: with a response, with a failure, or never (`silent`). */
@@ -127,7 +129,13 @@
     const cancel = (): void => { this.cancelled.push(options.backend.id) }
     if (reaction === 'silent') return { head: new Promise(() => {}), cancel }
     if (typeof reaction === 'string') return { head: Promise.resolve({ outcome: reaction, detail: 'scripted' }), cancel }
-    return { head: Promise.resolve(this.#headOf(reaction)), cancel }
+    const { silentMs = 0 } = reaction
+    if (silentMs === 0) return { head: Promise.resolve(this.#headOf(reaction)), cancel }
+    const timedOut = silentMs > options.headTimeoutMs
+    const head = new Promise<ResponseHead | ExchangeFailure>((resolve) => {
+      setTimeout(() => resolve(timedOut ? { outcome: ExchangeOutcome.TimedOut, detail: 'scripted' } : this.#headOf(reaction)), Math.min(silentMs, options.headTimeoutMs))
+    })
+    return { head, cancel }
   }
 
   onLeaving: BackendClient['onLeaving'] = () => {}
--- a/test/gateway/plain-forwarding.test.ts
+++ b/test/gateway/plain-forwarding.test.ts
@@ -17,9 +17,11 @@
   log: ReturnType<typeof recordingLog>
   pending: PendingRequest
   done: Promise<void>
+  health: ServerHealth
+  retryBudget: RetryBudget
 }
 
-function startForwarding (options: { route?: Partial<Route>, serverCount?: number, faulty?: boolean, slack?: number, respond: (sendNumber: number) => ScriptedReaction }): ForwardingRun {
+function startForwarding (options: { route?: Partial<Route>, serverCount?: number, faulty?: boolean, slack?: number, prepare?: (limits: ReturnType<typeof soleInstanceLimits>) => void, respond: (sendNumber: number) => ScriptedReaction }): ForwardingRun {
   const nowMs = (): number => performance.now()
   const backends = new BackendTable({ nowMs })
   const health = new ServerHealth({ nowMs })
@@ -27,7 +29,10 @@
     backends.put(backend({ id: `b${serverNumber}` }))
     if (options.faulty === true) for (let failure = 0; failure < 3; failure += 1) health.recordFailure(backend({ id: `b${serverNumber}` }), ExchangeOutcome.Failed)
   }
+  const limits = soleInstanceLimits(nowMs)
+  options.prepare?.(limits)
   const backendClient = new ScriptedBackendClient((_options, sendNumber) => options.respond(sendNumber))
+  const retryBudget = new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: options.slack ?? 100, windowS: 1 }), instanceCount: () => 1 })
   const responder = new RecordingResponder()
   const log = recordingLog()
   const pending = new PendingRequest({ request: callerRequest({ arrivedMs: nowMs() }), route: route(options.route), service: 'plain', responder, nowMs })
@@ -35,15 +40,15 @@
     backends,
     backendClient,
     health,
-    retryBudget: new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: options.slack ?? 100, windowS: 1 }), instanceCount: () => 1 }),
+    retryBudget,
     failureDomain: 'a',
     log,
     nowMs,
     metrics: new GatewayMetrics(),
-    ...soleInstanceLimits(nowMs),
+    ...limits,
     random: () => 0
   }, pending)
-  return { responder, backendClient, log, pending, done }
+  return { responder, backendClient, log, pending, done, health, retryBudget }
 }
 
 const nonIdempotent = { kind: RouteKind.NonIdempotent }
@@ -119,26 +124,68 @@
     expect(responder).toMatchObject({ status: 500, text: 'bad' })
   })
 
-  test('stops waiting for a slow server before the deadline only if the request is idempotent', async () => {
-    const { responder, backendClient, done } = startForwarding({ route: { timeoutMs: 2000 }, respond: (sendNumber) => sendNumber === 1 ? ExchangeOutcome.TimedOut : { parts: ['ok'] } })
+  // Guards against requests that wait for a silent server until their deadline, and against second runs of a request that may run once only.
+  test('sends a request to another server while the first one is silent only if it is idempotent', async () => {
+    const { responder, backendClient, pending, health, done } = startForwarding({ route: { timeoutMs: 2000 }, respond: (sendNumber) => sendNumber === 1 ? 'silent' : { parts: ['ok'] } })
     await done
     expect(responder.text).toBe('ok')
-    expect(backendClient.sent[0]?.headTimeoutMs).toBeLessThan(500)
-    const nonIdempotentRun = startForwarding({ route: { ...nonIdempotent, timeoutMs: 2000 }, respond: () => ({ parts: ['ok'] }) })
+    expect(pending.ageMs()).toBeLessThan(500)
+    expect(backendClient.cancelled).toContain('b1')
+    expect(health.failureShare(backend({ id: 'b1' }))).toBeGreaterThan(0.3)
+    const nonIdempotentRun = startForwarding({ route: { ...nonIdempotent, timeoutMs: 700 }, respond: () => 'silent' })
     await nonIdempotentRun.done
-    expect(nonIdempotentRun.backendClient.sent[0]?.headTimeoutMs).toBeGreaterThan(1900)
+    expect(nonIdempotentRun.backendClient.sent).toHaveLength(1)
+    expect(nonIdempotentRun.responder.refusal).toBe('timed-out')
+    expect(nonIdempotentRun.pending.ageMs()).toBeGreaterThan(700)
   })
 
-  // Guards against requests that end with 502 although their server would still answer them and no other one could.
-  test('waits for a slow server until the deadline if no other server is left', async () => {
-    const { responder, backendClient, done } = startForwarding({
-      route: { timeoutMs: 2000, attempts: 3 },
-      respond: (sendNumber) => sendNumber === 1 ? ExchangeOutcome.TimedOut : { parts: ['late'] }
+  describe('with a server that answers after a second', () => {
+    const late = { parts: ['late'], silentMs: 1000 }
+    const other = backend({ id: 'b2' })
+    const useUp = ({ limits, limitKeeper }: ReturnType<typeof soleInstanceLimits>): void => {
+      limits.observe(other, 0.5, 0)
+      while (limitKeeper.tryTake(other));
+    }
+
+    // Guards against requests that end with 502 although their server would still answer them and no other one does.
+    test.each<[string, Partial<Parameters<typeof startForwarding>[0]>, number]>([
+      ['the attempts of the route are used up', { route: { timeoutMs: 2000, attempts: 1 } }, 1],
+      ['there is no other server', { serverCount: 1 }, 1],
+      ['the retry budget is exhausted', { slack: 0 }, 1],
+      ['the limit of the other server is used up', { prepare: useUp }, 1],
+      ['the other server has turned this instance away', { prepare: ({ pauses }) => pauses.record(other, 5000) }, 1],
+      ['the other server is silent', { respond: (sendNumber) => sendNumber === 1 ? late : 'silent' }, 2],
+      ['the other server can not be reached', { respond: (sendNumber) => sendNumber === 1 ? late : ExchangeOutcome.NotSent }, 2],
+      ['the other server breaks off', { respond: (sendNumber) => sendNumber === 1 ? late : ExchangeOutcome.Broken }, 2],
+      ['the other server rejects the request', { respond: (sendNumber) => sendNumber === 1 ? late : { status: 503, meaning: ResponseMeaning.NotRun } }, 2],
+      ['the other server answers 500', { respond: (sendNumber) => sendNumber === 1 ? late : { status: 500, parts: ['bad'] } }, 2]
+    ])('sends its response to the caller when %s', async (_name, options, sends) => {
+      const { responder, backendClient, done } = startForwarding({ route: { timeoutMs: 2000 }, respond: () => late, ...options })
+      await done
+      expect(responder).toMatchObject({ status: 200, text: 'late', ending: 'ended' })
+      expect(backendClient.sent).toHaveLength(sends)
     })
+  })
+
+  // Guards against more servers at work on a request than its route allows, now that several may work at once.
+  test('sends a request to no more servers than the route allows while all are silent, and cancels all exchanges when the caller leaves', async () => {
+    const { responder, backendClient, pending } = startForwarding({ route: { timeoutMs: 2000, attempts: 3 }, serverCount: 5, respond: () => 'silent' })
+    await new Promise((resolve) => setTimeout(resolve, 1200))
+    expect(backendClient.sent).toHaveLength(3)
+    responder.disconnect()
+    expect(pending.ending).toBe('left')
+    expect([...backendClient.cancelled].sort()).toEqual(backendClient.sent.map(({ backend: { id } }) => id).sort())
+  })
+
+  // Guards against a shrinking retry budget without retries.
+  test('consumes no retry when no other server takes the request', async () => {
+    const { responder, backendClient, retryBudget, done } = startForwarding({ serverCount: 1, respond: () => ExchangeOutcome.Broken })
     await done
-    expect(responder.text).toBe('late')
-    expect(backendClient.sent[0]?.headTimeoutMs).toBeLessThan(500)
-    expect(backendClient.sent[1]?.headTimeoutMs).toBeGreaterThan(1900)
+    expect(backendClient.sent).toHaveLength(1)
+    expect(responder.refusal).toBe('outcome-unknown')
+    let left = 0
+    while (retryBudget.tryConsume('plain')) left += 1
+    expect(left).toBe(70)
   })
 
   test('refuses a request as timed out soon after the route\'s timeout when the server does not respond, and cancels the exchange', async () => {
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -79,7 +79,7 @@
 }
 
 /** Starts an instance with one server of a plain service, which `/once/` reaches at most once and `/again/` repeatedly, and one runner of a model without prefill, which `/stream/` reaches. */
-export async function startGateway (address: string): Promise<HttpGateway> {
+export async function startGateway (address: string, { slack = 50 }: { slack?: number } = {}): Promise<HttpGateway> {
   const nowMs = (): number => performance.now()
   const log = recordingLog()
   const exchanges = new HttpExchangeClient()
@@ -89,7 +89,7 @@
     failureDomain: 'a',
     listeners: { callers: '127.0.0.1:1', readiness: '127.0.0.1:2', directory: '127.0.0.1:3', peerPort: 4, metricsPort: 5 },
     storeAddress: '127.0.0.1:1',
-    repeats: { ratio: 0.2, slack: 50, windowS: 10 }
+    repeats: { ratio: 0.2, slack, windowS: 10 }
   })
   const gateway = new Gateway({
     settings,
