Take the bytes of an exchange off the buffer budget only once

Callers saw nothing yet: with each caller who left in the middle of a response, the budget counted fewer bytes than were kept, so that its limit would have held no longer.

Cause: when a caller's connection closes, all bytes of its hold are released, and the body that is cut by that takes its own bytes off once more.

Evidence: a caller who leaves after 50,000 bytes left a sum of -49,999 bytes (test on sockets).

Change: a hold never counts fewer than no bytes.

Measured: before, two tests fail (heldBytes -2500 and -49999 instead of 0); now they pass.

--- a/src/gateway/buffer-budget.ts
+++ b/src/gateway/buffer-budget.ts
@@ -49,8 +49,10 @@
   /** Adds bytes, or takes some off if the number is negative. Returns false if the exchange has had to give up its buffers. */
   add (bytes: number): boolean {
     if (this.#evicted) return false
-    this.#bytes += bytes
-    this.#budget.recordChange(this, bytes)
+    // All bytes may have been taken off already, when the caller left.
+    const change = Math.max(-this.#bytes, bytes)
+    this.#bytes += change
+    this.#budget.recordChange(this, change)
     return !this.#evicted
   }
 
--- a/test/gateway/buffer-budget.test.ts
+++ b/test/gateway/buffer-budget.test.ts
@@ -29,6 +29,7 @@
       hold.add(-40)
       hold.release()
       hold.release()
+      hold.add(-50)
     }
     expect(budget.heldBytes).toBe(0)
   })
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -2,6 +2,7 @@
 import type { Server as HttpServer } from 'node:http'
 import { type AddressInfo, connect, createServer, type Server, type Socket } from 'node:net'
 import { RunnerRole } from '../../src/gateway/backend.js'
+import type { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
@@ -17,6 +18,7 @@
   gateway: Gateway
   exchanges: HttpExchangeClient
   callers: HttpServer
+  buffers: BufferBudget
   log: ReturnType<typeof recordingLog>
   /** Opens a connection of a caller. */
   call: () => CallerConnection
@@ -106,10 +108,11 @@
   gateway.backends.put(backend({ address }))
   gateway.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode, address }))
   const ticks = setInterval(() => gateway.tick(), 20)
+  const buffers = unboundedBuffers()
   const callers = createCallerListener({
     serve: (request, responder) => gateway.serve(request, responder),
     limits: () => gateway.configuration?.limits ?? null,
-    buffers: unboundedBuffers(),
+    buffers,
     stopping: () => gateway.stopping,
     log,
     nowMs
@@ -129,7 +132,7 @@
     callers.close()
     exchanges.retain(new Set())
   }
-  return { gateway, exchanges, callers, log, call, close }
+  return { gateway, exchanges, callers, buffers, log, call, close }
 }
 
 export function gatewayConfiguration (version: number, timeoutMs = 2000): ReturnType<typeof configuration> {
--- a/test/platform/silent-servers.test.ts
+++ b/test/platform/silent-servers.test.ts
@@ -66,3 +66,13 @@
   await delay(100)
   expect(servers.map(({ connections }) => connections.size)).toEqual([0, 0])
 })
+
+// Guards against a budget that counts fewer bytes than are kept, because those of an exchange are taken off twice.
+test('a caller who leaves in the middle of a response leaves no bytes in the budget, neither more nor fewer', async () => {
+  const { caller, instance } = await call((socket, head) => { socket.write(answerTo(head, 'x'.repeat(50_000)).slice(0, -1)) }, silent)
+  for (let tries = 0; tries < 400 && instance.buffers.heldBytes < 40_000; tries += 1) await delay(5)
+  expect(instance.buffers.heldBytes).toBeGreaterThan(0)
+  caller.socket.destroy()
+  await delay(100)
+  expect(instance.buffers.heldBytes).toBe(0)
+})
