Serve a request after a failed prefill when the retry budget is exhausted

Callers saw: 503 (no-server) for a model request whose prefill broke off or was silent for 1.5 s, although the decode runner that was reserved for it was ready.

Cause: after any prefill that had been sent, the request to the decode runner had to consume a retry, and was refused if none was left. The first prefill that a runner accepts is no retry; a rejected one is.

Evidence: found by reading for causes like that of silent servers, reproduced on sockets.

Change: only a rejected or misdirected prefill leads to a refusal when the budget is exhausted. After a prefill without a proper answer a retry is still consumed if there is one, as it is not known whether the runner had accepted it.

Measured: before, five tests fail (ending refused instead of ended): two of test/platform/silent-servers, three of test/gateway/stream-forwarding; now they pass.

--- a/src/gateway/prompt-prefill.ts
+++ b/src/gateway/prompt-prefill.ts
@@ -1,6 +1,6 @@
 import type { BackendServer } from './backend.js'
 import type { KvCacheHandle } from './backend-client.js'
-import { ExchangeOutcome } from './exchange-outcome.js'
+import { ExchangeOutcome, provesNotRun } from './exchange-outcome.js'
 import { type ForwardingContext, freeKvCache, logFailedSend, pauseWaitMs, refuseUnanswered, type SendResult, sendToServer } from './forwarding.js'
 import { readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
@@ -88,8 +88,10 @@
     const pending = this.#pending
     const result = await this.#requestPrefill(prefillServer)
     if (result === null || 'kvCache' in result) return result?.kvCache ?? null
-    // Sending the request to the decode runner after a failed prefill counts as a retry, unless the prefill was never sent. If the budget is exhausted, the request is refused.
-    if (result.outcome !== ExchangeOutcome.NotSent && !retryBudget.tryConsume(pending.service)) refuseUnanswered(pending, this.#retryAfterMs())
+    if (result.outcome === ExchangeOutcome.NotSent) return null
+    // The first prefill that a runner accepts is no retry, but a rejected one makes the request that follows a retry. Whether a prefill without a proper answer was accepted is unknown; it does not end a request whose decode runner is ready.
+    const mayFollow = retryBudget.tryConsume(pending.service) || !provesNotRun(result.outcome)
+    if (!mayFollow) refuseUnanswered(pending, this.#retryAfterMs())
     return null
   }
 
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -99,6 +99,26 @@
     expect(responder.ending).toBe('ended')
   })
 
+  // Guards against requests that are refused although their decode runner would serve them.
+  test.each<[string, ScriptedReaction]>([
+    ['breaks off', ExchangeOutcome.Broken],
+    ['is silent', ExchangeOutcome.TimedOut],
+    ['has an unreadable answer', { parts: [] }]
+  ])('lets the decode runner compute the prompt when the prefill %s and the retry budget is exhausted', async (_name, reaction) => {
+    const { responder, backendClient, done } = startForwarding({ slack: 0, respond: (options) => isPrefill(options) ? reaction : stream })
+    await done
+    expect(responder).toMatchObject({ text: stream.parts.join(''), ending: 'ended' })
+    expect(backendClient.sent.map(({ backend: { id } }) => id)).toEqual(['p1', 'd1'])
+  })
+
+  // Guards against more arrivals than the retry budget allows: a rejected prefill counts as the first one.
+  test('refuses a request whose prefill was rejected when the retry budget is exhausted', async () => {
+    const { responder, backendClient, done } = startForwarding({ slack: 0, respond: (options) => isPrefill(options) ? notRun : stream })
+    await done
+    expect(responder.refusal).toBe('no-server')
+    expect(backendClient.sent).toHaveLength(1)
+  })
+
   test('retries on the same decode runner without the KV cache of the prompt when that has been evicted', async () => {
     const { responder, backendClient, done } = startForwarding({ respond: (options) => isPrefill(options) ? { parts: ['h1'] } : options.kvCache === null ? stream : notRun })
     await done
--- a/test/platform/silent-servers.test.ts
+++ b/test/platform/silent-servers.test.ts
@@ -1,15 +1,18 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
+import { RunnerRole } from '../../src/gateway/backend.js'
 import { backend } from '../gateway/gateway-fixtures.js'
 import { answerTo, type CallerConnection, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
+import { type AnswerHandler, answerTo as streamTo, ByteServer, SocketGateway, STREAM_BODY } from './socket-gateway.js'
 
 const SILENCE_MS = 1000
 
 const servers: ScriptedServer[] = []
+const runners: ByteServer[] = []
 let instance: HttpGateway | undefined
 
 afterEach(() => {
   instance?.close()
-  for (const server of servers.splice(0)) server.close()
+  for (const server of [...servers.splice(0), ...runners.splice(0)]) server.close()
 })
 
 type Handler = Parameters<typeof startServer>[0]
@@ -76,3 +79,22 @@
   await delay(100)
   expect(instance.buffers.heldBytes).toBe(0)
 })
+
+describe('a model request whose prefill fails when the retry budget is exhausted', () => {
+  // Guards against requests that are refused although their decode runner would serve them.
+  test.each<[string, AnswerHandler]>([
+    ['the prefill runner resets the connection', () => Promise.reject(new Error('reset'))],
+    ['the prefill runner is silent', () => new Promise(() => {})]
+  ])('is served by its decode runner: %s', async (_name, handler) => {
+    const gateway = new SocketGateway({ ratio: 0, slack: 0 })
+    const [prefill, decode] = [new ByteServer(handler), new ByteServer((request) => streamTo(request, { body: STREAM_BODY }))]
+    for (const server of [prefill, decode]) {
+      runners.push(server)
+      await server.listen()
+    }
+    gateway.add([prefill], RunnerRole.Prefill)
+    gateway.add([decode], RunnerRole.Decode)
+    expect(await gateway.request('/stream/x')).toMatchObject({ status: 200, text: STREAM_BODY, ending: 'ended' })
+    expect(prefill.received.filter(({ line }) => line.includes('/stream/'))).toHaveLength(1)
+  })
+})
--- a/test/platform/socket-gateway.ts
+++ b/test/platform/socket-gateway.ts
@@ -82,14 +82,14 @@
   readonly backendClient: HttpBackendClient
   #requests = 0
 
-  constructor () {
+  constructor ({ ratio = 1, slack = 1000 }: { ratio?: number, slack?: number } = {}) {
     const settings = gatewaySettingsSchema.parse({
       id: 'n1',
       ip: '10.0.0.1',
       failureDomain: 'a',
       listeners: { callers: '10.0.0.1:1', readiness: '10.0.0.1:2', directory: '10.0.0.1:3', peerPort: 4, metricsPort: 5 },
       storeAddress: '10.9.0.1:1',
-      repeats: { ratio: 1, slack: 1000, windowS: 10 }
+      repeats: { ratio, slack, windowS: 10 }
     })
     this.backendClient = new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log: this.log })
     this.gateway = new Gateway({ settings, backendClient: this.backendClient, store: {} as PlatformStore, log: this.log, metrics: this.metrics, send: () => {}, nowMs: () => performance.now(), random: () => 0 })
