Retry a 5xx response of a sound server while that helps

Cause: below a failure share of 0.2 the failure was put down to the request and passed on at once. A server's failure counts 0.1, so this held for each first failure, and for a service in which a tenth of all runs fails.

Evidence: the first 500 of a sound server reaches the caller (test on sockets).

Change: such a failure is retried within attempts and the first half of the retry budget. How these retries end is recorded for each service: once half of the recent ones failed again (four in a row), the requests fail on every server, and failures are passed on at once, also those of servers that count as faulty. The record decays, so that retries are tried again some seconds later. The test that wanted no retry at all is replaced by tests of when there is one and when there is none.

--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -23,9 +23,12 @@
 /** Lowest HTTP status of a server error. */
 const FIRST_SERVER_ERROR_STATUS = 500
 
-/** Lowest failure share at which a 5xx response is attributed to the server; below it, the request itself is assumed to fail on every server. */
+/** Lowest failure share at which a 5xx response is attributed to the server; below it, the request itself may fail on every server. */
 const FAULTY_SERVER_FAILURE_SHARE = 0.2
 
+/** Share of the retry budget that is kept for requests without a response when a 5xx response of a sound server is retried. */
+const RESERVED_BUDGET_SHARE = 0.5
+
 interface CompleteResponse {
   head: ResponseHead
   body: Buffer
@@ -165,7 +168,9 @@
     this.#answering.delete(backend)
     if (pending.ended) return
     const hasResponse = 'body' in attempt
-    if (hasResponse && attempt.head.status < FIRST_SERVER_ERROR_STATUS) return sendResponse(pending, attempt)
+    const failed = hasResponse && attempt.head.status >= FIRST_SERVER_ERROR_STATUS
+    if (hasResponse && this.#failedResponse !== null) this.#context.health.recordRetry(pending.service, { failed })
+    if (hasResponse && !failed) return sendResponse(pending, attempt)
     if (hasResponse) this.#failedResponse ??= attempt
     if (hasResponse) this.#context.health.recordFailure(backend, ExchangeOutcome.Failed)
     const result: Exclude<AttemptResult, CompleteResponse> = hasResponse ? { outcome: ExchangeOutcome.Failed, detail: `status ${attempt.head.status}` } : attempt
@@ -179,11 +184,18 @@
     if (notSent) this.#freeSends += 1
     const othersAnswer = [...this.#awaited].some((other) => !notSent || !this.#silent.has(other))
     if (this.#seeking || othersAnswer) return
-    const failsEverywhere = outcome === ExchangeOutcome.Failed && this.#context.health.failureShare(backend) < FAULTY_SERVER_FAILURE_SHARE
-    if (failsEverywhere || !mayTryOtherServer(this.#pending.route, outcome)) this.#endUnanswered()
+    if ((outcome === ExchangeOutcome.Failed && !this.#mayFailHereOnly(backend)) || !mayTryOtherServer(this.#pending.route, outcome)) this.#endUnanswered()
     else await this.#sendNext()
   }
 
+  /** Whether another server may answer with success after a 5xx response: as long as such retries help and, unless this server is faulty, enough of them are left for other requests. */
+  #mayFailHereOnly (backend: BackendServer): boolean {
+    const { health, retryBudget } = this.#context
+    const { service } = this.#pending
+    if (!health.retryMayHelp(service)) return false
+    return health.failureShare(backend) >= FAULTY_SERVER_FAILURE_SHARE || retryBudget.allows(service, { reservedShare: RESERVED_BUDGET_SHARE })
+  }
+
   /** Sends the request to a server and reads the response. */
   async #exchange (backend: BackendServer): Promise<AttemptResult> {
     const pending = this.#pending
--- a/src/gateway/retry-budget.ts
+++ b/src/gateway/retry-budget.ts
@@ -39,11 +39,11 @@
     this.#recentTimes(service).requests.push(this.#options.nowMs())
   }
 
-  /** Whether one more retry is within this instance's share of the budget. */
-  allows (service: string): boolean {
+  /** Whether one more retry is within this instance's share of the budget, of which `reservedShare` is kept for other retries. */
+  allows (service: string, { reservedShare = 0 }: { reservedShare?: number } = {}): boolean {
     const recent = this.#recentTimes(service)
     const { ratio, slack } = this.#options.allowance()
-    return recent.retries.length + 1 <= USABLE_BUDGET_SHARE * (ratio * recent.requests.length + slack / Math.max(1, this.#options.instanceCount()))
+    return recent.retries.length + 1 <= (1 - reservedShare) * USABLE_BUDGET_SHARE * (ratio * recent.requests.length + slack / Math.max(1, this.#options.instanceCount()))
   }
 
   /** Consumes one retry; false if this instance's share of the budget is exhausted. */
--- a/src/gateway/server-health.ts
+++ b/src/gateway/server-health.ts
@@ -25,6 +25,12 @@
 /** Additional cost of a server in another failure domain, in milliseconds, to reduce traffic between domains. */
 const OTHER_DOMAIN_COST_MS = 15
 
+/** Weight of the newest retry in the moving average of retries that failed again. */
+const RETRY_WEIGHT = 0.2
+
+/** Share of retries that failed again from which a failure is put down to the requests of the service and not to the server; four failed ones in a row reach it. */
+const USELESS_RETRY_SHARE = 0.5
+
 interface ServerRecord {
   failureShare: number
   latencyMs: number
@@ -32,9 +38,17 @@
   updatedMs: number
 }
 
+/** Moving average of the retries of a service that failed again, after a server had answered with a failure. */
+interface RetryRecord {
+  failedShare: number
+  updatedMs: number
+}
+
 /** Failure shares, latencies and load of the backend servers, as observed on the requests of this instance. */
 export class ServerHealth {
   readonly #records = new Map<string, ServerRecord>()
+  /** By service. */
+  readonly #retries = new Map<string, RetryRecord>()
   readonly #nowMs: () => number
 
   constructor (options: { nowMs: () => number }) {
@@ -61,6 +75,17 @@
     record.failureShare += (1 - record.failureShare) * (failureWeights[outcome] ?? DEFAULT_FAILURE_WEIGHT)
   }
 
+  /** Records how a server answered a request to which another one had answered with a failure. */
+  recordRetry (service: string, { failed }: { failed: boolean }): void {
+    const failedShare = this.#failedRetryShare(service)
+    this.#retries.set(service, { failedShare: failedShare + ((failed ? 1 : 0) - failedShare) * RETRY_WEIGHT, updatedMs: this.#nowMs() })
+  }
+
+  /** Whether a request to which a server has answered with a failure may succeed on another one. Some requests fail on every server. */
+  retryMayHelp (service: string): boolean {
+    return this.#failedRetryShare(service) < USELESS_RETRY_SHARE
+  }
+
   /** Moving average of the share of requests that failed, from 0 to 1. */
   failureShare (backend: BackendServer): number {
     return this.#decayedRecord(backend).failureShare
@@ -83,13 +108,22 @@
     for (const key of this.#records.keys()) if (!incarnations.has(key)) this.#records.delete(key)
   }
 
+  /** Decays like the records of servers, so that retries are tried again now and then. */
+  #failedRetryShare (service: string): number {
+    const record = this.#retries.get(service)
+    return record === undefined ? 0 : record.failedShare * this.#decayFactor(record)
+  }
+
+  #decayFactor ({ updatedMs }: { updatedMs: number }): number {
+    return 0.5 ** ((this.#nowMs() - updatedMs) / RECORD_HALF_LIFE_MS)
+  }
+
   #decayedRecord (backend: BackendServer): ServerRecord {
     const record = this.#record(backend)
-    const nowMs = this.#nowMs()
-    const decayFactor = 0.5 ** ((nowMs - record.updatedMs) / RECORD_HALF_LIFE_MS)
+    const decayFactor = this.#decayFactor(record)
     record.failureShare *= decayFactor
     record.latencyMs = INITIAL_LATENCY_MS + (record.latencyMs - INITIAL_LATENCY_MS) * decayFactor
-    record.updatedMs = nowMs
+    record.updatedMs = this.#nowMs()
     return record
   }
 
--- a/test/gateway/plain-forwarding.test.ts
+++ b/test/gateway/plain-forwarding.test.ts
@@ -21,7 +21,7 @@
   retryBudget: RetryBudget
 }
 
-function startForwarding (options: { route?: Partial<Route>, serverCount?: number, faulty?: boolean, slack?: number, prepare?: (limits: ReturnType<typeof soleInstanceLimits>) => void, respond: (sendNumber: number) => ScriptedReaction }): ForwardingRun {
+function startForwarding (options: { route?: Partial<Route>, serverCount?: number, faulty?: boolean, slack?: number, prepareHealth?: (health: ServerHealth) => void, prepareBudget?: (budget: RetryBudget) => void, prepare?: (limits: ReturnType<typeof soleInstanceLimits>) => void, respond: (sendNumber: number) => ScriptedReaction }): ForwardingRun {
   const nowMs = (): number => performance.now()
   const backends = new BackendTable({ nowMs })
   const health = new ServerHealth({ nowMs })
@@ -29,10 +29,12 @@
     backends.put(backend({ id: `b${serverNumber}` }))
     if (options.faulty === true) for (let failure = 0; failure < 3; failure += 1) health.recordFailure(backend({ id: `b${serverNumber}` }), ExchangeOutcome.Failed)
   }
+  options.prepareHealth?.(health)
   const limits = soleInstanceLimits(nowMs)
   options.prepare?.(limits)
   const backendClient = new ScriptedBackendClient((_options, sendNumber) => options.respond(sendNumber))
   const retryBudget = new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: options.slack ?? 100, windowS: 1 }), instanceCount: () => 1 })
+  options.prepareBudget?.(retryBudget)
   const responder = new RecordingResponder()
   const log = recordingLog()
   const pending = new PendingRequest({ request: callerRequest({ arrivedMs: nowMs() }), route: route(options.route), service: 'plain', responder, nowMs })
@@ -101,13 +103,32 @@
     expect(backendClient.sent).toHaveLength(1)
   })
 
-  test('sends the 5xx response of an otherwise healthy server to the caller without a retry, as the request may fail on every server', async () => {
-    const { responder, backendClient, done } = startForwarding({ respond: () => ({ status: 500, parts: ['bad'] }) })
+  // Guards against failures that a caller gets although another server would answer the request.
+  test('retries an idempotent request after the first 5xx response of a sound server', async () => {
+    const { responder, backendClient, done } = startForwarding({ respond: (sendNumber) => sendNumber === 1 ? { status: 500, parts: ['bad'] } : { parts: ['good'] } })
+    await done
+    expect(responder).toMatchObject({ status: 200, text: 'good', ending: 'ended' })
+    expect(backendClient.sent).toHaveLength(2)
+  })
+
+  // Guards against retries that are spent on requests that fail on every server.
+  test.each<[string, Partial<Parameters<typeof startForwarding>[0]>]>([
+    ['the last retries of the service failed too', { prepareHealth: (health) => { for (let retry = 0; retry < 4; retry += 1) health.recordRetry('plain', { failed: true }) } }],
+    ['half of the retry budget is used up', { slack: 2.8, prepareBudget: (budget) => { budget.tryConsume('plain') } }]
+  ])('sends the 5xx response of a sound server to the caller without a retry when %s', async (_name, options) => {
+    const { responder, backendClient, done } = startForwarding({ ...options, respond: () => ({ status: 500, parts: ['bad'] }) })
     await done
     expect(backendClient.sent).toHaveLength(1)
     expect(responder).toMatchObject({ status: 500, text: 'bad', ending: 'ended' })
   })
 
+  test('records how the retry of a 5xx response ended', async () => {
+    const { responder, health, done } = startForwarding({ prepareHealth: (health) => { for (let retry = 0; retry < 3; retry += 1) health.recordRetry('plain', { failed: true }) }, respond: () => ({ status: 500, parts: ['bad'] }) })
+    await done
+    expect(responder).toMatchObject({ status: 500, text: 'bad' })
+    expect(health.retryMayHelp('plain')).toBe(false)
+  })
+
   test('retries an idempotent request after a 5xx response of a faulty server, and sends the first 5xx response to the caller if the retry fails too', async () => {
     const retrySucceeds = startForwarding({ faulty: true, respond: (sendNumber) => sendNumber === 1 ? { status: 500, parts: ['bad'] } : { parts: ['good'] } })
     await retrySucceeds.done
--- a/test/platform/silent-servers.test.ts
+++ b/test/platform/silent-servers.test.ts
@@ -61,6 +61,12 @@
   })
 })
 
+// Guards against failures that a caller gets although another server would answer the request.
+test('a request that a sound server answers with 500 soon after the start is answered by another one', async () => {
+  const { caller } = await call(status('500 Oops'), (socket, head) => { socket.write(answerTo(head, 'good')) })
+  expect(await caller.until('good')).toMatch(/^HTTP\/1\.1 200 OK\r\n[^]*good$/)
+})
+
 // Guards against servers that work on for a caller who has left.
 test('a caller who leaves while two servers work on its request ends both exchanges', async () => {
   const { caller } = await call(silent, silent)
