--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -17,6 +17,7 @@
   gateway: Gateway
   exchanges: HttpExchangeClient
   callers: CallerServer
+  buffers: BufferBudget
   log: ReturnType<typeof recordingLog>
   /** Opens a connection of a caller. */
   call: () => CallerConnection
@@ -79,7 +80,7 @@
 }
 
 /** Starts an instance with one server of a plain service, which `/once/` reaches at most once and `/again/` repeatedly, and one runner of a model without prefill, which `/stream/` reaches. */
-export async function startGateway (address: string, { buffers = unboundedBuffers() }: { buffers?: BufferBudget } = {}): Promise<HttpGateway> {
+export async function startGateway (address: string, { buffers = unboundedBuffers(), slack = 50 }: { buffers?: BufferBudget, slack?: number } = {}): Promise<HttpGateway> {
   const nowMs = (): number => performance.now()
   const log = recordingLog()
   const exchanges = new HttpExchangeClient()
@@ -89,7 +90,7 @@
     failureDomain: 'a',
     listeners: { callers: '127.0.0.1:1', readiness: '127.0.0.1:2', directory: '127.0.0.1:3', peerPort: 4, metricsPort: 5 },
     storeAddress: '127.0.0.1:1',
-    repeats: { ratio: 0.2, slack: 50, windowS: 10 }
+    repeats: { ratio: 0.2, slack, windowS: 10 }
   })
   const gateway = new Gateway({
     settings,
@@ -129,7 +130,7 @@
     callers.close()
     exchanges.retain(new Set())
   }
-  return { gateway, exchanges, callers, log, call, close }
+  return { gateway, exchanges, callers, buffers, log, call, close }
 }
 
 export function gatewayConfiguration (version: number, timeoutMs = 2000): ReturnType<typeof configuration> {
