End exchanges that get interim responses without end

Callers saw: every request on an instance waited while a server sent interim responses (103) to some dozen others, until the head timeouts of these.

Cause: HttpExchangeClient and sendControlRequest took any number of interim responses; each is parsed and announced like a head.

Change: the 17th interim response ends the exchange as broken, with the outcome of any other one whose connection breaks (it may have run). A request for the store, a peer or a runner fails.

--- a/src/gateway/control-request.ts
+++ b/src/gateway/control-request.ts
@@ -1,4 +1,5 @@
 import { type Agent, type IncomingHttpHeaders, request as httpRequest } from 'node:http'
+import { limitInterimResponses } from './http-exchange.js'
 
 /** Largest response body unless the request states another limit, in bytes; a listing of the store has at most some megabytes. */
 const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
@@ -107,6 +108,7 @@
       timeouts.clear()
       reject(error)
     }
+    limitInterimResponses(request)
     request.on('error', fail)
     request.on('response', (response) => {
       const chunks: Buffer[] = []
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -17,6 +17,9 @@
 /** Largest number of idle connections to one server. */
 const MAX_IDLE_CONNECTIONS = 4
 
+/** Largest number of interim responses (1xx) before the response; servers send a few at most. Each one costs as much as a head, so one that does not stop would keep the process busy until the head timeout. */
+const MAX_INTERIM_RESPONSES = 16
+
 export interface ExchangeRequest {
   /** IP address and port. */
   address: string
@@ -189,6 +192,7 @@
     function markReset (): void {
       reset = true
     }
+    limitInterimResponses(request)
     request.on('socket', (socket) => {
       // Node.js marks a response without a length as complete even if its connection was reset.
       socket.on('error', markReset)
@@ -215,6 +219,15 @@
   })
 }
 
+/** Ends a request as broken when its server sends too many interim responses. */
+export function limitInterimResponses (request: ClientRequest): void {
+  let count = 0
+  request.on('information', () => {
+    count += 1
+    if (count > MAX_INTERIM_RESPONSES) request.destroy(new Error(`more than ${MAX_INTERIM_RESPONSES} interim responses`))
+  })
+}
+
 interface BodyOptions {
   /** Largest body, in bytes. */
   limitBytes: number
--- a/test/gateway/control-request.test.ts
+++ b/test/gateway/control-request.test.ts
@@ -93,6 +93,15 @@
     expect(sentBytes).toBeLessThan(20 * 1024 * 1024)
   })
 
+  // Guards against a server that keeps the process busy until the timeout with interim responses without end.
+  test('rejects after a small number of interim responses', async () => {
+    const address = await serve((_request, response) => {
+      const timer = setInterval(() => response.writeEarlyHints({ link: '</a>' }), 1)
+      response.on('close', () => clearInterval(timer))
+    })
+    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow('more than 16 interim responses')
+  })
+
   test('rejects when the response is cut off', async () => {
     const address = await serve((_request, response) => {
       response.writeHead(200, { 'Content-Length': 10 }).write('half')
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -73,6 +73,19 @@
     expect(received).toBe(1)
   })
 
+  // Guards against a server that keeps the process busy until the head timeout with interim responses without end.
+  test('ends an exchange as broken after a small number of interim responses', async () => {
+    const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
+    const address = await serve(
+      (socket) => socket.write(`${interim.repeat(5)}HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok`),
+      (socket) => {
+        const timer = setInterval(() => socket.write(interim), 1)
+        socket.on('close', () => clearInterval(timer))
+      })
+    expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBe('ok')
+    expect(await get(new HttpExchangeClient(), address)).toMatchObject({ outcome: ExchangeOutcome.Broken, detail: 'more than 16 interim responses' })
+  })
+
   test('treats a body that is shorter than its stated length as incomplete', async () => {
     const address = await serve((socket) => socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'))
     expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBeNull()
