Count and bound the answers of the store, peers and runners

Callers saw: their connections closed without an answer, all of one instance at once, when the store or a peer sent it something that it could not hold.

Cause: sendControlRequest kept up to 32 MB for each answer, whoever sent it, in a list of chunks, so that a chunk of one byte occupied more than a hundred; none of it counted in the buffer budget. Texts of many small values occupy many times their size once they are decoded. A listing of the store had no bound on its pages.

Changes of a watch that are too large are answered by a listing, as if the store had lost its history.

--- a/src/gateway/buffer-budget.ts
+++ b/src/gateway/buffer-budget.ts
@@ -18,18 +18,27 @@
   onEvict?: () => void
 }
 
+interface HoldOptions {
+  /** What the bytes belong to, for logs. */
+  name: string
+  /** Bytes that do not make the exchange the one to end while another one has more than its own allowance: those of a sound answer of the store may be more than a caller's exchange has. */
+  allowanceBytes?: number
+}
+
 /** The bytes that one exchange keeps in buffers, as a part of the budget of its process. */
 export class BufferHold {
   readonly #budget: BufferBudget
   readonly #name: string
+  readonly #allowanceBytes: number
   #bytes = 0
   #evicted = false
   /** Called once when the budget is exceeded and no hold is larger; it has to end the exchange, so that its buffers can be freed. */
   onEvict: () => void = () => {}
 
-  constructor (options: { budget: BufferBudget, name: string }) {
+  constructor (options: HoldOptions & { budget: BufferBudget }) {
     this.#budget = options.budget
     this.#name = options.name
+    this.#allowanceBytes = options.allowanceBytes ?? 0
   }
 
   /** What the bytes belong to, for logs. */
@@ -41,6 +50,11 @@
     return this.#bytes
   }
 
+  /** Bytes beyond the allowance; negative below it. */
+  get excessBytes (): number {
+    return this.#bytes - this.#allowanceBytes
+  }
+
   /** Whether the exchange had to give up its buffers. Bytes that are added afterwards do not count. */
   get evicted (): boolean {
     return this.#evicted
@@ -69,7 +83,7 @@
   }
 }
 
-/** Bounds the bytes that all exchanges of the process keep in buffers together. When they exceed the limit, the largest exchange is ended, so that a few answers without end can't displace the small ones of other callers. */
+/** Bounds the bytes that all exchanges of the process keep in buffers together. When they exceed the limit, the exchange that exceeds its allowance most is ended, so that a few answers without end can't displace the small ones of other callers. */
 export class BufferBudget {
   readonly #limitBytes: number
   readonly #log: Log
@@ -93,8 +107,8 @@
     return this.#limitBytes
   }
 
-  hold (name: string): BufferHold {
-    return new BufferHold({ budget: this, name })
+  hold (name: string, { allowanceBytes = 0 }: Omit<HoldOptions, 'name'> = {}): BufferHold {
+    return new BufferHold({ budget: this, name, allowanceBytes })
   }
 
   /** Records a change of a hold; called by the hold itself. */
@@ -106,7 +120,7 @@
   }
 
   #evictLargest (): void {
-    const largest = [...this.#holds].reduce((a, b) => b.bytes > a.bytes ? b : a)
+    const largest = [...this.#holds].reduce((a, b) => b.excessBytes > a.excessBytes ? b : a)
     this.#log.warn('buffers.exceeded', { evicted: largest.name, bytes: largest.bytes, heldBytes: this.#heldBytes, limitBytes: this.#limitBytes, holds: this.#holds.size })
     this.#onEvict()
     largest.evict()
--- a/src/gateway/control-request.ts
+++ b/src/gateway/control-request.ts
@@ -1,9 +1,9 @@
 import { type Agent, type IncomingHttpHeaders, request as httpRequest } from 'node:http'
+import { OversizeError } from './bounded-decoding.js'
+import type { BufferHold } from './buffer-budget.js'
+import { ByteCollector } from './byte-collector.js'
 import { limitInterimResponses } from './http-exchange.js'
 
-/** Largest response body unless the request states another limit, in bytes; a listing of the store has at most some megabytes. */
-const MAX_RESPONSE_BYTES = 32 * 1024 * 1024
-
 export interface TransferLimits {
   /** Longest pause between two parts of the body, in milliseconds. */
   stallTimeoutMs: number
@@ -25,7 +25,9 @@
   /** Limits on the transfer of a body that may be large; it may take longer than `timeoutMs` as long as it makes progress. */
   transferLimits?: TransferLimits
   /** Largest response body, in bytes. */
-  maxBytes?: number
+  maxBytes: number
+  /** Counts the bytes of the response; they stay counted until the hold is released, also if the request fails. */
+  buffers: BufferHold
   /** Agent that reuses connections; without it, each request opens a new connection. */
   agent?: Agent
   /** Asked on the established connection, just before the request is written; if it returns false, the request fails with a `WithheldError`. Only for a request that opens a new connection. */
@@ -59,6 +61,7 @@
   readonly #onTimeout: (reason: string) => void
   readonly #totalTimer: NodeJS.Timeout
   #progressTimer: NodeJS.Timeout | undefined
+  #hasProgress = false
 
   constructor (options: { timeoutMs: number, transferLimits: TransferLimits | undefined, onTimeout: (reason: string) => void }) {
     const { timeoutMs, transferLimits, onTimeout } = options
@@ -73,6 +76,11 @@
   markProgress (): void {
     if (this.#limits === undefined) return
     const { stallTimeoutMs } = this.#limits
+    if (this.#hasProgress) {
+      this.#progressTimer?.refresh()
+      return
+    }
+    this.#hasProgress = true
     clearTimeout(this.#progressTimer)
     this.#progressTimer = setTimeout(() => this.#onTimeout(`no progress for ${stallTimeoutMs} ms`), stallTimeoutMs)
   }
@@ -84,7 +92,7 @@
 }
 
 /** Sends a small request to the store, a runner or a peer and reads the complete response, whatever its status. Rejects on connection errors and on timeout. */
-export function sendControlRequest ({ address, method, target, headers = {}, body, timeoutMs, transferLimits, maxBytes = MAX_RESPONSE_BYTES, agent, maySend, onHead }: ControlRequest): Promise<ControlResponse> {
+export function sendControlRequest ({ address, method, target, headers = {}, body, timeoutMs, transferLimits, maxBytes, buffers, agent, maySend, onHead }: ControlRequest): Promise<ControlResponse> {
   return new Promise((resolve, reject) => {
     const startedMs = performance.now()
     let headMs: number | null = null
@@ -108,24 +116,29 @@
       timeouts.clear()
       reject(error)
     }
+    buffers.onEvict = () => {
+      fail(new Error(`no memory for the response: ${receivedBytes} bytes received`))
+      request.destroy()
+    }
     limitInterimResponses(request)
     request.on('error', fail)
     request.on('response', (response) => {
-      const chunks: Buffer[] = []
+      const body = new ByteCollector({ onGrowth: (bytes) => buffers.add(bytes) })
       headMs = performance.now() - startedMs
       onHead?.({ status: response.statusCode ?? 0, headers: response.headers })
       timeouts.markProgress()
       response.on('data', (chunk: Buffer) => {
         timeouts.markProgress()
         receivedBytes += chunk.length
-        if (receivedBytes > maxBytes) abort(`response over ${maxBytes} bytes`)
-        else chunks.push(chunk)
+        if (receivedBytes > maxBytes) request.destroy(new OversizeError(`response over ${maxBytes} bytes`))
+        else body.push(chunk)
       })
       response.on('error', fail)
       response.on('end', () => {
         timeouts.clear()
         const transfer = { bytes: receivedBytes, headMs: headMs ?? 0, totalMs: performance.now() - startedMs }
-        resolve({ status: response.statusCode ?? 0, headers: response.headers, bytes: Buffer.concat(chunks), transfer })
+        // The blocks of the collector are freed only some time after they have been put together.
+        if (buffers.add(body.length)) resolve({ status: response.statusCode ?? 0, headers: response.headers, bytes: body.bytes(), transfer })
       })
     })
     const write = (): void => { request.end(payload ?? undefined) }
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -1,8 +1,10 @@
-import { promisify } from 'node:util'
-import { gunzip, gzipSync } from 'node:zlib'
-import { decode, encode } from 'cbor-x'
+import { createGunzip, gzipSync } from 'node:zlib'
+import { encode } from 'cbor-x'
 import type { BackendServer } from './backend.js'
 import type { BackendTable, MissingServer } from './backend-table.js'
+import { decodeBoundedCbor, OversizeError } from './bounded-decoding.js'
+import type { BufferBudget, BufferHold } from './buffer-budget.js'
+import { ByteCollector } from './byte-collector.js'
 import type { Configuration } from './configuration.js'
 import type { DepartedServer } from './departed-servers.js'
 import { sendControlRequest, type Transfer } from './control-request.js'
@@ -28,10 +30,11 @@
 /** Time for which an encoded snapshot with departed servers is reused, in milliseconds; their ages are only compared with the start of an era. */
 const MAX_DEPARTURE_AGE_ERROR_MS = 1000
 
-/** Largest decompressed snapshot, in bytes. */
-const MAX_SNAPSHOT_BYTES = 32 * 1024 * 1024
+/** Largest snapshot, compressed or not, in bytes: one with the largest configuration that the store accepts and a thousand servers has less than half. */
+const MAX_SNAPSHOT_BYTES = 8 * 1024 * 1024
 
-const decompress = promisify(gunzip)
+/** Bytes of a snapshot that do not make it the exchange to end when the buffers of the process are full. */
+const ALLOWANCE_BYTES = 4 * 1024 * 1024
 
 /** The store's state as one instance has applied it, for a peer with an older state. */
 export interface PeerSnapshot {
@@ -87,18 +90,37 @@
   }
 }
 
-/** Rejects if the peer can't be reached, is too slow, or answers with an error status. */
-export async function fetchSnapshot (ip: string, port: number): Promise<{ snapshot: PeerSnapshot, transfer: Transfer }> {
-  const { status, headers, bytes, transfer } = await sendControlRequest({
-    address: `${ip}:${port}`,
-    method: 'GET',
-    target: SNAPSHOT_PATH,
-    headers: { 'accept-encoding': SNAPSHOT_CODING },
-    timeoutMs: SNAPSHOT_TIMEOUT_MS,
-    transferLimits: { stallTimeoutMs: SNAPSHOT_TIMEOUT_MS, totalTimeoutMs: SNAPSHOT_TRANSFER_TIMEOUT_MS }
-  })
-  if (status !== 200) throw new Error(`status ${status} for the snapshot request to ${ip}`)
-  // Peers of older versions send snapshots uncompressed.
-  const plain = headers['content-encoding'] === SNAPSHOT_CODING ? await decompress(bytes, { maxOutputLength: MAX_SNAPSHOT_BYTES }) : bytes
-  return { snapshot: decode(plain) as PeerSnapshot, transfer }
+/** Rejects if the peer can't be reached, is too slow, answers with an error status, or sends something unreadable. */
+export async function fetchSnapshot ({ ip, port, buffers }: { ip: string, port: number, buffers: BufferBudget }): Promise<{ snapshot: PeerSnapshot, transfer: Transfer }> {
+  const hold = buffers.hold('snapshot', { allowanceBytes: ALLOWANCE_BYTES })
+  try {
+    const { status, headers, bytes, transfer } = await sendControlRequest({
+      address: `${ip}:${port}`,
+      method: 'GET',
+      target: SNAPSHOT_PATH,
+      headers: { 'accept-encoding': SNAPSHOT_CODING },
+      timeoutMs: SNAPSHOT_TIMEOUT_MS,
+      transferLimits: { stallTimeoutMs: SNAPSHOT_TIMEOUT_MS, totalTimeoutMs: SNAPSHOT_TRANSFER_TIMEOUT_MS },
+      maxBytes: MAX_SNAPSHOT_BYTES,
+      buffers: hold
+    })
+    if (status !== 200) throw new Error(`status ${status} for the snapshot request to ${ip}`)
+    // Peers of older versions send snapshots uncompressed.
+    const plain = headers['content-encoding'] === SNAPSHOT_CODING ? await decompress(bytes, hold) : bytes
+    return { snapshot: decodeBoundedCbor(plain) as PeerSnapshot, transfer }
+  } finally {
+    hold.release()
+  }
+}
+
+async function decompress (bytes: Buffer, hold: BufferHold): Promise<Buffer> {
+  const plain = new ByteCollector({ onGrowth: (growth) => hold.add(growth) })
+  const gunzip = createGunzip()
+  gunzip.end(bytes)
+  for await (const chunk of gunzip as AsyncIterable<Buffer>) {
+    if (plain.length + chunk.length > MAX_SNAPSHOT_BYTES) throw new OversizeError(`snapshot over ${MAX_SNAPSHOT_BYTES} bytes`)
+    if (!plain.push(chunk)) throw new Error('no memory for the snapshot')
+  }
+  if (!hold.add(plain.length)) throw new Error('no memory for the snapshot')
+  return plain.bytes()
 }
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -2,6 +2,7 @@
 import type { Server } from 'node:http'
 import type { Log } from '../logs/log.js'
 import { formatFaults, loadSettings } from '../settings/load-settings.js'
+import type { BufferBudget } from './buffer-budget.js'
 import type { CallerLimits } from './configuration.js'
 import type { Gateway } from './gateway.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
@@ -57,6 +58,7 @@
   settingsFile: string
   store: PlatformStore
   exchanges: HttpExchangeClient
+  buffers: BufferBudget
   callers: CallerListener
   applyLimits: (limits: CallerLimits) => void
   readiness: Server
@@ -139,7 +141,7 @@
     const peer = gateway.peerWithNewerState()
     if (peer === undefined || fetching) return
     fetching = true
-    fetchSnapshot(peer.ip, options.settings.listeners.peerPort)
+    fetchSnapshot({ ip: peer.ip, port: options.settings.listeners.peerPort, buffers: options.buffers })
       .then(({ snapshot, transfer }) => {
         log.info('snapshot.received', { from: peer.ip, era: snapshot.era ?? 0, revision: snapshot.revision, bytes: transfer.bytes, headMs: Math.round(transfer.headMs), totalMs: Math.round(transfer.totalMs) })
         gateway.applyPeerSnapshot(peer.ip, snapshot)
--- a/test/gateway/buffer-budget.test.ts
+++ b/test/gateway/buffer-budget.test.ts
@@ -14,6 +14,14 @@
     expect({ ended, held: budget.heldBytes, takesMore: large.add(1), evicted: large.evicted }).toEqual({ ended: ['large'], held: 30, takesMore: false, evicted: true })
   })
 
+  // Guards against the sound answers of the store, which are larger than most exchanges, that are ended in place of these.
+  test('spares an exchange within its allowance', () => {
+    const budget = new BufferBudget({ limitBytes: 100, log: recordingLog() })
+    const [store, caller] = [budget.hold('store', { allowanceBytes: 60 }), budget.hold('caller')]
+    expect([store.add(60), caller.add(30), store.add(5), caller.add(10)]).toEqual([true, true, true, false])
+    expect([store.add(50), budget.heldBytes]).toEqual([false, 0])
+  })
+
   test('tells the exchange that adds the bytes if it is the largest itself', () => {
     const budget = new BufferBudget({ limitBytes: 100, log: recordingLog() })
     const hold = budget.hold('only')
--- a/test/gateway/control-request.test.ts
+++ b/test/gateway/control-request.test.ts
@@ -2,7 +2,14 @@
 import { once } from 'node:events'
 import { Agent, createServer, type RequestListener, type Server } from 'node:http'
 import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer } from 'node:net'
-import { sendControlRequest } from '../../src/gateway/control-request.js'
+import { BufferBudget } from '../../src/gateway/buffer-budget.js'
+import { type ControlRequest, type ControlResponse, sendControlRequest } from '../../src/gateway/control-request.js'
+import { recordingLog, unboundedBuffers } from './gateway-fixtures.js'
+
+/** Sends a request whose response may have 1 MB unless stated. */
+function send (request: Omit<ControlRequest, 'buffers' | 'maxBytes'>, maxBytes = 1024 * 1024, buffers = unboundedBuffers()): Promise<ControlResponse> {
+  return sendControlRequest({ ...request, maxBytes, buffers: buffers.hold('server') })
+}
 
 let server: Server | undefined
 let rawServer: TcpServer | undefined
@@ -27,18 +34,18 @@
       request.on('data', (chunk: Buffer) => received.push(`${request.method} ${request.url} ${request.headers['content-type']} ${chunk.toString()}`))
       request.on('end', () => response.writeHead(412).end('{"items":[]}'))
     })
-    const { status, bytes } = await sendControlRequest({ address, method: 'POST', target: '/v1/kv-txn', body: { a: 1 }, timeoutMs: 1000 })
+    const { status, bytes } = await send({ address, method: 'POST', target: '/v1/kv-txn', body: { a: 1 }, timeoutMs: 1000 })
     expect([status, bytes.toString(), ...received]).toEqual([412, '{"items":[]}', 'POST /v1/kv-txn application/json {"a":1}'])
   })
 
   test('rejects when a response stalls midway, which would otherwise block the store watcher', async () => {
     const address = await serve((_request, response) => { response.writeHead(200, { 'Content-Length': 10 }).write('half') })
-    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 100 })).rejects.toThrow('no complete response within 100 ms')
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 100 })).rejects.toThrow('no complete response within 100 ms')
   })
 
   test('says how much of a response had arrived at the timeout', async () => {
     const address = await serve((_request, response) => { response.writeHead(200, { 'Content-Length': 10 }).write('half') })
-    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 100 })).rejects.toThrow(/4 bytes received, head after \d+ ms/)
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 100 })).rejects.toThrow(/4 bytes received, head after \d+ ms/)
   })
 
   // Guards against a large response over a slow link that is given up midway and requested again from its start.
@@ -52,19 +59,19 @@
         if (parts > 6) clearInterval(timer)
       }, 50)
     })
-    const { bytes } = await sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 150, transferLimits: { stallTimeoutMs: 150, totalTimeoutMs: 2000 } })
+    const { bytes } = await send({ address, method: 'GET', target: '/', timeoutMs: 150, transferLimits: { stallTimeoutMs: 150, totalTimeoutMs: 2000 } })
     expect(bytes.toString()).toBe('part'.repeat(6))
   })
 
   test('rejects a response that stalls, or that does not end in time', async () => {
     const stalling = await serve((_request, response) => { response.writeHead(200, { 'Content-Length': 10 }).write('half') })
-    await expect(sendControlRequest({ address: stalling, method: 'GET', target: '/', timeoutMs: 1000, transferLimits: { stallTimeoutMs: 100, totalTimeoutMs: 2000 } })).rejects.toThrow('no progress for 100 ms: 4 bytes received')
+    await expect(send({ address: stalling, method: 'GET', target: '/', timeoutMs: 1000, transferLimits: { stallTimeoutMs: 100, totalTimeoutMs: 2000 } })).rejects.toThrow('no progress for 100 ms: 4 bytes received')
     server?.close()
     const endless = await serve((_request, response) => {
       const timer = setInterval(() => response.write('part'), 20)
       response.on('close', () => clearInterval(timer))
     })
-    await expect(sendControlRequest({ address: endless, method: 'GET', target: '/', timeoutMs: 1000, transferLimits: { stallTimeoutMs: 100, totalTimeoutMs: 300 } })).rejects.toThrow('no complete response within 300 ms')
+    await expect(send({ address: endless, method: 'GET', target: '/', timeoutMs: 1000, transferLimits: { stallTimeoutMs: 100, totalTimeoutMs: 300 } })).rejects.toThrow('no complete response within 300 ms')
   })
 
   // Guards against an instance that runs out of memory because a faulty runner sends a report without end.
@@ -88,7 +95,7 @@
     rawServer?.listen(0, '127.0.0.1')
     await once(rawServer as TcpServer, 'listening')
     const address = `127.0.0.1:${(rawServer?.address() as AddressInfo).port}`
-    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 5000, maxBytes: 100_000 })).rejects.toThrow()
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 5000 }, 100_000)).rejects.toThrow()
     await closed
     expect(sentBytes).toBeLessThan(20 * 1024 * 1024)
   })
@@ -99,7 +106,19 @@
       const timer = setInterval(() => response.writeEarlyHints({ link: '</a>' }), 1)
       response.on('close', () => clearInterval(timer))
     })
-    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow('more than 16 interim responses')
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow('more than 16 interim responses')
+  })
+
+  // Guards against an instance that runs out of memory because answers of the store, of peers and of runners are not counted.
+  test('counts a response until its hold is released, and rejects one for which there is no memory', async () => {
+    const address = await serve((request, response) => { response.end(Buffer.alloc(Number(request.url?.slice(1)))) })
+    const budget = new BufferBudget({ limitBytes: 1_000_000, log: recordingLog() })
+    const hold = budget.hold('store')
+    await sendControlRequest({ address, method: 'GET', target: '/300000', timeoutMs: 1000, maxBytes: 2_000_000, buffers: hold })
+    expect(budget.heldBytes).toBeGreaterThanOrEqual(300_000)
+    hold.release()
+    await expect(send({ address, method: 'GET', target: '/1500000', timeoutMs: 1000 }, 2_000_000, budget)).rejects.toThrow('no memory for the response')
+    expect(budget.heldBytes).toBe(0)
   })
 
   test('rejects when the response is cut off', async () => {
@@ -107,7 +126,7 @@
       response.writeHead(200, { 'Content-Length': 10 }).write('half')
       setTimeout(() => response.destroy(), 10)
     })
-    await expect(sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow()
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow()
   })
 
   test('reuses the connections of an agent', async () => {
@@ -117,7 +136,7 @@
       response.end('ok')
     })
     const agent = new Agent({ keepAlive: true, maxSockets: 1 })
-    for (let request = 0; request < 3; request += 1) await sendControlRequest({ address, method: 'GET', target: '/', timeoutMs: 1000, agent })
+    for (let request = 0; request < 3; request += 1) await send({ address, method: 'GET', target: '/', timeoutMs: 1000, agent })
     agent.destroy()
     expect(ports.size).toBe(1)
   })
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -14,7 +14,7 @@
 import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
 import { type PlatformStore, type StoreChange, StoreChangeKind } from '../../src/gateway/platform-store.js'
 import { GatewayRefusal } from '../../src/gateway/refusal.js'
-import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient } from './gateway-fixtures.js'
+import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, type ScriptedReaction, ScriptedBackendClient, unboundedBuffers } from './gateway-fixtures.js'
 
 /** Time after which an instance no longer waits for the heartbeats of others, in milliseconds. */
 const LISTENING_MS = 1000
@@ -193,7 +193,7 @@
     const listener = createPeerListener(peer)
     listener.listen(0, '127.0.0.1')
     await once(listener, 'listening')
-    const { snapshot } = await fetchSnapshot('127.0.0.1', (listener.address() as AddressInfo).port)
+    const { snapshot } = await fetchSnapshot({ ip: '127.0.0.1', port: (listener.address() as AddressInfo).port, buffers: unboundedBuffers() })
     listener.close()
     gateway.applyPeerSnapshot('10.0.0.2', snapshot)
     expect(gateway.backends.staleness(server)).toBe(expected)
--- a/test/gateway/peer-snapshot.test.ts
+++ b/test/gateway/peer-snapshot.test.ts
@@ -8,7 +8,7 @@
 import type { Configuration } from '../../src/gateway/configuration.js'
 import type { StorePosition } from '../../src/gateway/store-position.js'
 import { ThrottledLink } from '../platform/throttled-link.js'
-import { backend, configuration, route } from './gateway-fixtures.js'
+import { backend, configuration, route, unboundedBuffers } from './gateway-fixtures.js'
 
 /** Part of a link of 10 Mbit/s that is left beside other traffic, in bytes per second. */
 const BUSY_LINK_BYTES_PER_S = 100_000
@@ -47,7 +47,7 @@
     const link = new ThrottledLink({ port, bytesPerS: BUSY_LINK_BYTES_PER_S })
     cleanups.push(() => link.close())
     const [host, linkPort] = (await link.open()).split(':')
-    const { snapshot, transfer } = await fetchSnapshot(host ?? '', Number(linkPort))
+    const { snapshot, transfer } = await fetchSnapshot({ ip: host ?? '', port: Number(linkPort), buffers: unboundedBuffers() })
     expect(snapshot).toMatchObject({ revision: 12, configuration: { version: 9 }, backends: [{ id: 'b1' }] })
     expect(snapshot.configuration?.routes).toHaveLength(1250)
     expect(transfer.totalMs).toBeLessThan(700)
@@ -61,7 +61,7 @@
     const versions: Array<number | undefined> = []
     for (const next of [1, 1, 2]) {
       version = next
-      versions.push((await fetchSnapshot('127.0.0.1', port)).snapshot.configuration?.version)
+      versions.push((await fetchSnapshot({ ip: '127.0.0.1', port, buffers: unboundedBuffers() })).snapshot.configuration?.version)
     }
     expect(versions).toEqual([1, 1, 2])
   })
@@ -74,7 +74,7 @@
     const eras: Array<number | undefined> = []
     for (const next of [1, 2]) {
       era = next
-      eras.push((await fetchSnapshot('127.0.0.1', port)).snapshot.era)
+      eras.push((await fetchSnapshot({ ip: '127.0.0.1', port, buffers: unboundedBuffers() })).snapshot.era)
     }
     expect(eras).toEqual([1, 2])
   })
--- a/test/platform/endless-answers.test.ts
+++ b/test/platform/endless-answers.test.ts
@@ -13,7 +13,7 @@
 import { ServerHealth } from '../../src/gateway/server-health.js'
 import { forwardStream } from '../../src/gateway/stream-forwarding.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, callerRequest, recordingLog, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { backend, callerRequest, recordingLog, RecordingResponder, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 import { noAlternative } from '../gateway/placer-fixtures.js'
 import { soleInstanceLimits } from '../gateway/limit-fixtures.js'
 
@@ -88,7 +88,7 @@
   })
   const context = {
     backends,
-    backendClient: new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log }),
+    backendClient: new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log }),
     health,
     retryBudget: new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: 100, windowS: 1 }), instanceCount: () => 1 }),
     failureDomain: 'a',
--- a/test/platform/http-backend-client.test.ts
+++ b/test/platform/http-backend-client.test.ts
@@ -5,13 +5,13 @@
 import { RunnerRole } from '../../src/gateway/backend.js'
 import { type SendOptions, ResponseMeaning } from '../../src/gateway/backend-client.js'
 import { type ResponseHead, HttpExchangeClient, isFailure } from '../../src/gateway/http-exchange.js'
-import { backend, callerRequest, recordingLog } from '../gateway/gateway-fixtures.js'
+import { backend, callerRequest, recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
 let server: Server | undefined
 
 afterEach(() => { server?.close() })
 
-const backendClient = new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log: recordingLog() })
+const backendClient = new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log: recordingLog() })
 
 function sendOptionsTo (address: string, options: Partial<SendOptions> = {}): SendOptions {
   return { request: callerRequest({ method: 'POST', headers: ['Host', 'h.example', 'X-Request-Id', 'q1'], body: Buffer.from('body') }), backend: backend({ id: 'i-1', address }), deadlineMs: 812.7, headTimeoutMs: 500, ownConnection: true, ...options }
--- a/test/platform/http-forwarding-context.ts
+++ b/test/platform/http-forwarding-context.ts
@@ -5,7 +5,7 @@
 import { RetryBudget } from '../../src/gateway/retry-budget.js'
 import { ServerHealth } from '../../src/gateway/server-health.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { recordingLog } from '../gateway/gateway-fixtures.js'
+import { recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 import { soleInstanceLimits } from '../gateway/limit-fixtures.js'
 
 /** Context of an instance in failure domain `a` that sends to the given servers over real connections. */
@@ -14,7 +14,7 @@
   const log = recordingLog()
   return {
     backends,
-    backendClient: new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log }),
+    backendClient: new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log }),
     health: new ServerHealth({ nowMs }),
     retryBudget: new RetryBudget({ nowMs, allowance: () => ({ ratio: 0, slack: 100, windowS: 1 }), instanceCount: () => 1 }),
     failureDomain: 'a',
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -93,7 +93,7 @@
   })
   const gateway = new Gateway({
     settings,
-    backendClient: new HttpBackendClient({ exchangeClient: exchanges, log }),
+    backendClient: new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: exchanges, log }),
     store: {} as PlatformStore,
     log,
     metrics: new GatewayMetrics(),
--- a/test/platform/server-leaving.test.ts
+++ b/test/platform/server-leaving.test.ts
@@ -5,7 +5,7 @@
 import type { OrderTokenIssuer } from '../../src/gateway/order-token-issuer.js'
 import { RoleRebalancer } from '../../src/gateway/role-rebalancer.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, recordingLog } from '../gateway/gateway-fixtures.js'
+import { backend, recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 import { type AnswerHandler, answerTo, ByteServer, SocketGateway, STREAM_BODY } from './socket-gateway.js'
 
 const LEAVING = ['Server-Leaving: 1']
@@ -147,7 +147,7 @@
     const backends = new BackendTable({ nowMs: () => clock.ms, hasSaidLeaving: ({ id }) => said.has(id) })
     for (const id of ['decode1', 'decode2', 'decode3']) backends.put(backend({ id, service: 'model', stage: RunnerRole.Decode, address: runner.address }))
     const log = recordingLog()
-    const backendClient = new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log })
+    const backendClient = new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log })
     backendClient.onLeaving = ({ id }) => { said.add(id) }
     const tokenIssuer = {
       mayAcquire: () => true,
--- a/test/platform/server-pause.test.ts
+++ b/test/platform/server-pause.test.ts
@@ -5,7 +5,7 @@
 import type { OrderTokenIssuer } from '../../src/gateway/order-token-issuer.js'
 import { RoleRebalancer } from '../../src/gateway/role-rebalancer.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, recordingLog, type RecordingResponder } from '../gateway/gateway-fixtures.js'
+import { backend, recordingLog, type RecordingResponder, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 import { type AnswerHandler, answerTo, ByteServer, SocketGateway, STREAM_BODY } from './socket-gateway.js'
 
 const PAUSE_S = 0.6
@@ -177,7 +177,7 @@
     const backends = new BackendTable({ nowMs: () => clock.ms })
     for (const id of ['decode1', 'decode2', 'decode3']) backends.put(backend({ id, service: 'model', stage: RunnerRole.Decode, address: runner.address }))
     const log = recordingLog()
-    const backendClient = new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log })
+    const backendClient = new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log })
     backendClient.onPause = ({ id }) => { paused.add(id) }
     const tokenIssuer = { mayAcquire: () => true, acquire: () => Promise.resolve(4) } as unknown as OrderTokenIssuer
     const mix = { promptTokens: 5200, outputTokens: 100, prefillTokensPerMs: 50, msPerToken: 0.85, memoryTokens: 95_000, slots: 64 }
--- a/test/platform/socket-gateway.ts
+++ b/test/platform/socket-gateway.ts
@@ -8,7 +8,7 @@
 import { HttpExchangeClient } from '../../src/gateway/http-exchange.js'
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route } from '../gateway/gateway-fixtures.js'
+import { backend, callerRequest, configuration, recordingLog, RecordingResponder, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 
 /** A request as a server received it. */
 export interface ReceivedRequest {
@@ -91,7 +91,7 @@
       storeAddress: '10.9.0.1:1',
       repeats: { ratio: 1, slack: 1000, windowS: 10 }
     })
-    this.backendClient = new HttpBackendClient({ exchangeClient: new HttpExchangeClient(), log: this.log })
+    this.backendClient = new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: new HttpExchangeClient(), log: this.log })
     this.gateway = new Gateway({ settings, backendClient: this.backendClient, store: {} as PlatformStore, log: this.log, metrics: this.metrics, send: () => {}, nowMs: () => performance.now(), random: () => 0 })
     this.gateway.applyConfiguration(configuration({
       routes: [
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -9,7 +9,7 @@
 import { RunnerStage } from '../../src/standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../../src/standin/platform-store-standin.js'
 import { StoreClient } from '../../platform/store-client.js'
-import { recordingLog } from '../gateway/gateway-fixtures.js'
+import { recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
 import { ThrottledLink } from './throttled-link.js'
 
 /** Rate of the link, in bytes per second: 10 Mbit/s. */
@@ -44,7 +44,7 @@
   const link = new ThrottledLink({ port: (store.server.address() as AddressInfo).port, bytesPerS })
   let version = 0
   const watcher = new StoreWatcher({
-    store: new StoreClient({ address: await link.open() }),
+    store: new StoreClient({ address: await link.open(), buffers: unboundedBuffers() }),
     ip: '10.0.0.1',
     log: recordingLog(),
     random: () => 0.5,
@@ -107,7 +107,7 @@
       server.closeAllConnections()
       server.close()
     })
-    const client = new StoreClient({ address: `127.0.0.1:${await listen(server, '127.0.0.1', 0)}` })
+    const client = new StoreClient({ address: `127.0.0.1:${await listen(server, '127.0.0.1', 0)}`, buffers: unboundedBuffers() })
     expect(await client.list()).toEqual({ kind: StoreErrorKind.Unreachable, detail: 'era 8 after a page of era 7', era: 8 })
     expect(await client.list()).toMatchObject({ era: 8, revision: 30, changes: [{ ip: '10.0.0.1' }, { ip: '10.0.0.2' }] })
   })
@@ -157,10 +157,14 @@
 
 describe('StoreClient', () => {
   /** A server whose every response holds the given items, as a listing and as the events of a watch. */
-  async function storeWith (items: unknown[]): Promise<StoreClient> {
+  function storeWith (items: unknown[]): Promise<StoreClient> {
+    return storeSending(() => ({ items, events: items, HasMore: false, At: 40 }))
+  }
+
+  async function storeSending (answer: () => object): Promise<StoreClient> {
     const server = createServer((request, response) => {
       request.resume()
-      response.end(JSON.stringify({ items, events: items, HasMore: false, At: 40 }))
+      response.end(JSON.stringify(answer()))
     })
     server.listen(0, '127.0.0.1')
     await once(server, 'listening')
@@ -168,7 +172,7 @@
       server.closeAllConnections()
       server.close()
     })
-    return new StoreClient({ address: `127.0.0.1:${(server.address() as AddressInfo).port}` })
+    return new StoreClient({ address: `127.0.0.1:${(server.address() as AddressInfo).port}`, buffers: unboundedBuffers() })
   }
 
   // Guards against an instance that follows the store no longer, because one odd item makes it reject every listing or every watch call.
@@ -189,4 +193,17 @@
       expect(result).toMatchObject({ revision: 40, changes: [{ kind: StoreChangeKind.Unreadable, key }, { kind: StoreChangeKind.Backend, backend: { id: 'i-1' } }, { kind: StoreChangeKind.BackendRemoved, id: 'i-2' }] })
     }
   })
+
+  // Guards against an instance that keeps the items of pages without end.
+  test('give up a listing whose pages do not end', async () => {
+    let nextKey = 0
+    const client = await storeSending(() => ({ items: [{ Key: `servers/${nextKey++}`, Value: '', Revision: 1 }], HasMore: true, At: 40 }))
+    expect(await client.list()).toMatchObject({ kind: StoreErrorKind.Unreachable, detail: expect.stringContaining('a listing of more than') })
+  })
+
+  // Guards against an instance that watches from the same revision again and again, though the changes since then are too large for it.
+  test('list the items again when the changes of a watch are too large', async () => {
+    const client = await storeSending(() => ({ events: Array.from({ length: 5 }, () => ({ Key: 'op/config', Value: 'a'.repeat(1_000_000), Revision: 1 })), At: 40 }))
+    expect(await client.watch(3, 1000)).toMatchObject({ kind: StoreErrorKind.HistoryLost })
+  })
 })
