--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -94,7 +94,7 @@
   })
   const gateway = new Gateway({
     settings,
-    backendClient: new HttpBackendClient({ exchangeClient: exchanges, log }),
+    backendClient: new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: exchanges, log }),
     store: {} as PlatformStore,
     log,
     metrics: new GatewayMetrics(),
