--- a/src/gateway/byte-collector.ts
+++ b/src/gateway/byte-collector.ts
@@ -1,6 +1,9 @@
-/** Size of the blocks that chunks are copied into, in bytes. */
+/** Largest size of the blocks that chunks are copied into, in bytes. */
 const BLOCK_BYTES = 64 * 1024
 
+/** Size of the first block, in bytes; an event of a stream that arrives in several chunks usually fits into it. */
+const FIRST_BLOCK_BYTES = 1024
+
 interface ByteCollectorOptions {
   /** Told of each increase of the allocated bytes beforehand; if it returns false, the collector drops its bytes and takes no more. */
   onGrowth?: (bytes: number) => boolean
@@ -62,8 +65,9 @@
     const rest = chunk.subarray(copied)
     this.#blocks.push(this.#last.subarray(0, this.#lastLength))
     if (rest.length >= BLOCK_BYTES) return this.#keep(rest)
-    if (!this.#onGrowth(BLOCK_BYTES)) return false
-    this.#last = Buffer.allocUnsafeSlow(BLOCK_BYTES)
+    const blockBytes = Math.min(BLOCK_BYTES, Math.max(FIRST_BLOCK_BYTES, this.#length, rest.length))
+    if (!this.#onGrowth(blockBytes)) return false
+    this.#last = Buffer.allocUnsafeSlow(blockBytes)
     this.#lastLength = rest.copy(this.#last)
     return true
   }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -80,7 +80,7 @@
   constructor (context: StreamForwardingContext, pending: PendingRequest) {
     this.#context = context
     this.#pending = pending
-    this.#eventSplitter = new EventSplitter({ lastEventId: pending.request.lastEventId })
+    this.#eventSplitter = new EventSplitter({ lastEventId: pending.request.lastEventId, buffers: pending.responder.buffers })
     this.#prefill = new PromptPrefill({ context, pending, retryAfterMs: () => this.#retryAfterMs() })
   }
 
@@ -88,7 +88,10 @@
     const { placer } = this.#context
     const pending = this.#pending
     pending.onTimeout = (refusalIfNotRun) => refuseAtTimeout(pending, this.#sending, refusalIfNotRun)
-    pending.whenEnded(() => this.#prefill.freeUnused())
+    pending.whenEnded(() => {
+      this.#prefill.freeUnused()
+      this.#eventSplitter.discardPartialEvent()
+    })
     for (;;) {
       if (this.#refuseIfQuarantined()) return
       // A pause concerns this instance only, so the coordinator goes on placing requests of others on the runner.
@@ -419,8 +422,8 @@
         // Bytes that complete no event are no progress: a stalled runner may send one now and then.
         if (this.#eventSplitter.eventCount > eventsSoFar) silence?.restart()
         streamBytes += chunk.length
-        if (streamBytes > MAX_STREAM_BYTES || this.#eventSplitter.partialEvent.length > MAX_EVENT_BYTES) {
-          log.warn('stream.oversized', { request: pending.request.id, server: decodeServer.id, bytes: streamBytes, eventBytes: this.#eventSplitter.partialEvent.length })
+        if (streamBytes > MAX_STREAM_BYTES || this.#eventSplitter.partialBytes > MAX_EVENT_BYTES) {
+          log.warn('stream.oversized', { request: pending.request.id, server: decodeServer.id, bytes: streamBytes, eventBytes: this.#eventSplitter.partialBytes })
           relayed.stop(RelayEnd.GivenUp)
           return
         }
@@ -441,11 +444,11 @@
         })
       })
       message.on('end', () => {
-        const { partialEvent, insideEvent } = this.#eventSplitter
+        const { partialEvent, partialBytes, insideEvent } = this.#eventSplitter
         // Every run makes an event, so only a resumed stream may end without another one.
         const isEmpty = streamBytes === 0 && this.#eventSplitter.lastEventId === null
         const complete = isComplete() && !insideEvent && !isEmpty
-        if (complete && route.resumable && partialEvent.length > 0 && !pending.ended) responder.write(partialEvent)
+        if (complete && route.resumable && partialBytes > 0 && !pending.ended) responder.write(partialEvent)
         relayed.settle(complete ? RelayEnd.Complete : RelayEnd.Broken)
       })
       message.on('error', () => relayed.settle(RelayEnd.Broken))
--- a/src/standin/platform-entries.ts
+++ b/src/standin/platform-entries.ts
@@ -33,13 +33,13 @@
 }
 
 /** The entry of a server that has just started or, with `leaving`, is about to exit. */
-export function platformServer ({ service, address, stage, leaving = false }: { service: string, address: string, stage: RunnerStage, leaving?: boolean }): unknown {
+export function platformServer ({ service, address, stage, leaving = false, slots = 16 }: { service: string, address: string, stage: RunnerStage, leaving?: boolean, slots?: number }): unknown {
   return {
     Service: service,
     Address: address,
     Zone: 'a',
     State: leaving ? 'draining' : 'ready',
-    Slots: 16,
+    Slots: slots,
     Sequence: 1,
     born: Date.now(),
     ...(stage === RunnerStage.Plain ? {} : { Stage: stage })
--- a/test/programs/limited-gateway.ts
+++ b/test/programs/limited-gateway.ts
@@ -20,6 +20,9 @@
 /** Time between two requests of the caller that uses the instance all the while, in milliseconds. */
 const STEADY_PERIOD_MS = 20
 
+/** Requests that the model runner runs at once. */
+const RUNNER_SLOTS = 1000
+
 /** What a server does once the bytes of a request have arrived on a connection. */
 export type RawAnswer = (socket: Socket, requestText: string) => void
 
@@ -29,7 +32,27 @@
   socket.write(body)
 }
 
-/** A real gateway process that is killed when it exceeds the memory of the smallest instance, as on the users' platform, with plain servers that answer with raw bytes. */
+const isStream = (path: string): boolean => path.startsWith('/streams/') || path.startsWith('/resumable/')
+
+interface PlatformConfiguration {
+  Routes: Array<{ Kind: string }>
+  Services: Array<{ Engine?: object }>
+  Limits: object
+}
+
+/** The usual configuration with large uploads, room for many streams and streams that may be resumed. */
+function limitedConfiguration (): object {
+  const configuration = platformConfiguration({ version: 100, addedPaths: [] }) as PlatformConfiguration
+  const resumable = configuration.Routes.filter(({ Kind }) => Kind === 'streaming').map((route) => ({ ...route, Name: '/resumable/', PathPrefix: '/resumable/', Resumable: true }))
+  return {
+    ...configuration,
+    Routes: [...configuration.Routes, ...resumable],
+    Services: configuration.Services.map((service) => service.Engine === undefined ? service : { ...service, MaxConnections: RUNNER_SLOTS, Engine: { ...service.Engine, Slots: RUNNER_SLOTS, KvCacheTokens: 1_000_000 } }),
+    Limits: { ...configuration.Limits, BodyBytes: BODY_BYTES }
+  }
+}
+
+/** A real gateway process that is killed when it exceeds the memory of the smallest instance, as on the users' platform, with a plain server and a model runner that answer with raw bytes. */
 export class LimitedGateway {
   readonly fleet: SoakFleet
   readonly #folder = mkdtempSync(join(tmpdir(), 'limited-gateway-'))
@@ -42,7 +65,7 @@
   peakMb = 0
   killed = false
 
-  /** `answers` holds the behaviour of the server by the last part of the path; any other path gets a sound answer. */
+  /** `answers` holds the behaviour of both servers by the last part of the path; any other path gets a sound answer. */
   constructor ({ net, answers }: { net: string, answers: Record<string, RawAnswer> }) {
     this.#ip = `127.${net}.200`
     this.fleet = new SoakFleet({ folder: this.#folder, net, instances: 1, ledger: new SoakLedger(), memoryMb: MEMORY_MB })
@@ -63,10 +86,11 @@
     await this.fleet.start()
     this.#server.listen(7107, this.#ip)
     await once(this.#server, 'listening')
-    for (const { id, service } of this.fleet.runners) if (service === 'plain') this.fleet.store.remove(serverKey(id))
-    this.fleet.store.put(serverKey('i-raw'), platformServer({ service: 'plain', address: `${this.#ip}:7107`, stage: RunnerStage.Plain }))
-    const configuration = platformConfiguration({ version: 100, addedPaths: [] }) as { Limits: object }
-    this.fleet.store.put(configurationKey, { ...configuration, Limits: { ...configuration.Limits, BodyBytes: BODY_BYTES } })
+    for (const { id } of this.fleet.runners) this.fleet.store.remove(serverKey(id))
+    const address = `${this.#ip}:7107`
+    this.fleet.store.put(serverKey('i-raw'), platformServer({ service: 'plain', address, stage: RunnerStage.Plain }))
+    this.fleet.store.put(serverKey('i-raw-model'), platformServer({ service: 'model', address, stage: RunnerStage.Decode, slots: RUNNER_SLOTS }))
+    this.fleet.store.put(configurationKey, limitedConfiguration())
     const startedMs = performance.now()
     while (performance.now() - startedMs < 10_000 && await this.status('/checks/sound') !== 200) await delay(50)
     const child = this.fleet.instances[0]?.process
@@ -102,7 +126,7 @@
       const call = request(`http://${this.callers}${path}`, {
         agent: new Agent(),
         method: path.startsWith('/checks') ? 'GET' : 'POST',
-        headers: { Host: 'soak.example', 'X-Request-Id': `q${Math.random()}`, 'X-Deadline-Ms': String(options.deadlineMs ?? 1000) }
+        headers: { Host: 'soak.example', 'X-Request-Id': `q${Math.random()}`, 'X-Deadline-Ms': String(options.deadlineMs ?? 1000), ...(isStream(path) ? { 'X-Model': 'm', 'X-Token-Counts': '10,10' } : {}) }
       })
       call.on('error', () => resolve(null))
       call.on('response', (response) => {
--- a/test/programs/memory-limit.test.ts
+++ b/test/programs/memory-limit.test.ts
@@ -9,6 +9,12 @@
 /** Number of exchanges at once. */
 const EXCHANGES = 60
 
+/** Number of streams at once. */
+const STREAMS = 400
+
+/** An event without its end, a little smaller than the largest one that a stream may have. */
+const ENDLESS_EVENT = Buffer.from('id: 1\n' + `data: ${'a'.repeat(93)}\n`.repeat(2500))
+
 let gateway: LimitedGateway
 const sockets: Socket[] = []
 
@@ -35,6 +41,10 @@
   body: endless((text) => `${head(text)}\r\n`, CHUNK),
   chunks: endless((text) => `${head(text)}Transfer-Encoding: chunked\r\n\r\n`, Buffer.concat([Buffer.from('10000\r\n'), CHUNK, Buffer.from('\r\n')])),
   'small-chunks': endless((text) => `${head(text)}Transfer-Encoding: chunked\r\n\r\n`, Buffer.from('1\r\na\r\n'.repeat(10_000))),
+  event: (socket, text) => {
+    socket.write(`${head(text)}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n${ENDLESS_EVENT.length.toString(16)}\r\n`)
+    socket.write(ENDLESS_EVENT)
+  },
   big: (socket, text) => soundAnswer(socket, text, BIG_BODY)
 }
 
@@ -66,6 +76,17 @@
     expect(gateway.peakMb).toBeLessThan(MEMORY_MB)
   }, 30_000)
 
+  // Guards against instances that run out of memory because many runners send an event without end.
+  test.each(['streams', 'resumable'])('survives many streams with an event without end at once, and serves other callers meanwhile: %s', async (route) => {
+    await start()
+    gateway.startSteadyCaller()
+    const statuses = await Promise.all(Array.from({ length: STREAMS }, () => gateway.status(`/${route}/event`, { deadlineMs: 3000 })))
+    const steady = await gateway.steadyStatuses()
+    // The head is on its way, so each connection is closed before the answer is complete.
+    expect({ killed: gateway.killed, statuses: [...new Set(statuses)], steady: Object.keys(steady) }).toEqual({ killed: false, statuses: [null], steady: ['200'] })
+    expect(gateway.peakMb).toBeLessThan(MEMORY_MB)
+  }, 30_000)
+
   // Guards against instances that run out of memory because callers read large answers slowly.
   test('survives many callers that read no large answer, and serves other callers meanwhile', async () => {
     await start()
