--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -17,8 +17,9 @@
   gateway: Gateway
   exchanges: HttpExchangeClient
   callers: CallerServer
-  buffers: BufferBudget
   log: ReturnType<typeof recordingLog>
+  /** Counts the bytes of all requests and responses, without a limit. */
+  buffers: BufferBudget
   /** Opens a connection of a caller. */
   call: () => CallerConnection
   close: () => void
@@ -94,7 +95,7 @@
   })
   const gateway = new Gateway({
     settings,
-    backendClient: new HttpBackendClient({ buffers: unboundedBuffers(), exchangeClient: exchanges, log }),
+    backendClient: new HttpBackendClient({ buffers, exchangeClient: exchanges, log }),
     store: {} as PlatformStore,
     log,
     metrics: new GatewayMetrics(),
