Let the soak play slow callers, silent servers, bytes without end and the smallest memory

Callers of the users lost requests and instances ran out of memory; the soak could have shown neither, as its callers and servers were quick and small and it never looked at calls that ended without an answer.

Change: six slow callers upload and read in parts, with bodies of 1 MB and answers of 8 MB, on kept connections, and each leaves one answer of 8 MB unread. Servers fall silent for about a second, or send a body, chunks, interim responses, an event or header lines without end. Configurations come in series, with IdleTimeoutMs and TimeoutMs raised and lowered, and so does SIGHUP with the settings file rewritten, at times half of it for a moment. Instances run as with 178 MB.

New checks: LOST (each call whose request was sent whole ends with a complete answer or a refusal, unless its instance was killed or paused, its server broke off, its time ran out or it crossed the close), the peak of VmRSS of each process (VmHWM, which the kernel keeps between two looks), and processes that end by themselves. All earlier checks stay.

Two faults of the soak itself: a process that was stopped and then killed was started twice; the second one ended with EADDRINUSE, unnoticed until now.

--- /dev/null
+++ b/src/soak/process-watch.ts
@@ -0,0 +1,54 @@
+import { readFileSync } from 'node:fs'
+import type { SoakFleet } from './soak-fleet.js'
+
+/** Time between two looks at the processes, in milliseconds; the kernel keeps the peak meanwhile. */
+const WATCH_PERIOD_MS = 100
+
+interface ProcessWatchOptions {
+  fleet: Pick<SoakFleet, 'instances' | 'ownEnds'>
+  /** Memory that each process may use, in MB. */
+  memoryMb: number
+}
+
+/** Watches the resident memory of the processes of a fleet, and whether one ends by itself. */
+export class ProcessWatch {
+  readonly #options: ProcessWatchOptions
+  readonly #exceeded = new Map<number, string>()
+  #timer: NodeJS.Timeout | undefined
+  peakMb = 0
+
+  constructor (options: ProcessWatchOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => this.#look(), WATCH_PERIOD_MS)
+  }
+
+  stop (): void {
+    clearInterval(this.#timer)
+    this.#look()
+  }
+
+  violations (): string[] {
+    return [...this.#exceeded.values(), ...this.#options.fleet.ownEnds.violations]
+  }
+
+  #look (): void {
+    const { fleet, memoryMb } = this.#options
+    for (const { ip, process: { pid } } of fleet.instances) {
+      const peakMb = pid === undefined ? 0 : peakResidentMb(pid)
+      this.peakMb = Math.max(this.peakMb, peakMb)
+      if (pid !== undefined && peakMb > memoryMb) this.#exceeded.set(pid, `${ip}: its process used ${Math.round(peakMb)} MB of ${memoryMb} MB`)
+    }
+  }
+}
+
+/** Highest VmRSS that the process has had, in MB; 0 if it has ended. */
+function peakResidentMb (pid: number): number {
+  try {
+    return Number(/VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))?.[1] ?? 0) / 1024
+  } catch {
+    return 0
+  }
+}
--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -5,6 +5,10 @@
 import { faultHandlers, SoakFault } from './soak-faults.js'
 import { SoakFleet, type SoakInstance } from './soak-fleet.js'
 import { LeavingRunners } from './leaving-runners.js'
+import { type Disturbance, LOWEST_IDLE_TIMEOUT_MS, LOWEST_TIMEOUT_MS, runDisturbances } from './disturbances.js'
+import { lostCalls } from './lost-calls.js'
+import { ProcessWatch } from './process-watch.js'
+import { SlowCaller, UPLOAD_LIMIT_BYTES } from './slow-callers.js'
 import { StoreReturns } from './store-returns.js'
 import { SoakLedger } from './soak-ledger.js'
 
@@ -35,6 +39,20 @@
 /** Distance between the seeds of the faults and of the returns of the store. */
 const RETURNS_SEED_OFFSET = 2_000_003
 
+/** Distance between the seeds of the faults and of the disturbances, and of the callers. */
+const DISTURBANCES_SEED_OFFSET = 3_000_003
+const SLOW_CALLERS_SEED_OFFSET = 4_000_003
+const CALLERS_SEED_OFFSET = 5_000_003
+
+/** Memory of each instance, in MB; the smallest instances of the users have as much. */
+const MEMORY_MB = 178
+
+/** Callers that upload and read slowly. */
+const SLOW_CALLERS = 6
+
+/** Share of the idle timeout for which callers leave a connection idle. */
+const IDLE_SHARE = 0.8
+
 interface SoakOptions {
   seed: number
   faultsMs: number
@@ -48,6 +66,9 @@
   calls: number
   good: number
   faults: SoakFault[]
+  disturbances: Disturbance[]
+  /** Highest resident memory of a process, in MB. */
+  peakMb: number
   violations: string[]
 }
 
@@ -55,20 +76,22 @@
 export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
   const random = seededRandom(options.seed)
   const ledger = new SoakLedger()
-  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger })
+  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger, memoryMb: MEMORY_MB, limits: { bodyBytes: UPLOAD_LIMIT_BYTES } })
+  const watch = new ProcessWatch({ fleet, memoryMb: MEMORY_MB })
   const violations: string[] = []
   try {
     await fleet.start()
+    watch.start()
     await delay(START_MS)
-    const callers = Array.from({ length: options.callers }, (_, index) =>
-      new PlatformCallerStandIn({ name: `s${options.seed}c${index}`, directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
+    const callers = [...createCallers(fleet, ledger, options), ...createSlowCallers(fleet, ledger, options)]
     const running = Promise.all(callers.map((caller) => caller.run()))
     const leaving = new LeavingRunners({ fleet })
     // A generator of its own, so that the seeds that failed once keep their series of faults.
     const leaves = leaving.run(options.faultsMs, seededRandom(options.seed + LEAVING_SEED_OFFSET))
     const returns = new StoreReturns({ fleet }).run(options.faultsMs, seededRandom(options.seed + RETURNS_SEED_OFFSET))
+    const disturbed = runDisturbances(fleet, options.faultsMs, seededRandom(options.seed + DISTURBANCES_SEED_OFFSET))
     const faults = await injectFaults(fleet, random, options.faultsMs, violations)
-    await Promise.all([leaves, returns])
+    const [disturbances] = await Promise.all([disturbed, leaves, returns])
     await delay(RECOVERY_MS)
     violations.push(...await unknownRoutes(fleet))
     const before = ledger.ends.length
@@ -80,13 +103,42 @@
     await delay(RELEASE_MS)
     const held = fleet.runners.reduce((sum, { standIn }) => sum + standIn.active, 0)
     if (held > 0) violations.push(`${held} runs are still at work for callers that are gone`)
-    violations.push(...ledger.violations(), ...leaving.violations(ledger))
-    return { seed: options.seed, calls: ledger.ends.length, good: ledger.ends.filter(isGood).length, faults, violations }
+    watch.stop()
+    const lost = lostCalls({ ledger, instances: fleet.instances, lowestTimeoutMs: LOWEST_TIMEOUT_MS, evictions: (ip) => evictions(fleet, ip) })
+    violations.push(...ledger.violations(), ...leaving.violations(ledger), ...watch.violations(), ...lost)
+    return { seed: options.seed, calls: ledger.ends.length, good: ledger.ends.filter(isGood).length, faults, disturbances, peakMb: watch.peakMb, violations }
   } finally {
+    watch.stop()
     await fleet.stop()
   }
 }
 
+type SoakCaller = Pick<PlatformCallerStandIn, 'run' | 'stop'>
+
+/** Callers draw numbers at times that differ from run to run, so a generator of their own keeps the series of faults of a seed. */
+function createCallers (fleet: SoakFleet, ledger: SoakLedger, { seed, callers }: SoakOptions): SoakCaller[] {
+  const random = seededRandom(seed + CALLERS_SEED_OFFSET)
+  return Array.from({ length: callers }, (_, index) =>
+    new PlatformCallerStandIn({ name: `s${seed}c${index}`, directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
+}
+
+function createSlowCallers (fleet: SoakFleet, ledger: SoakLedger, { seed }: SoakOptions): SoakCaller[] {
+  const random = seededRandom(seed + SLOW_CALLERS_SEED_OFFSET)
+  return Array.from({ length: SLOW_CALLERS }, (_, index) => new SlowCaller({
+    name: `s${seed}w${index}`,
+    addresses: fleet.instances.map((instance) => fleet.callers(instance)),
+    onEnd: (end) => ledger.ends.push(end),
+    random,
+    idleMs: IDLE_SHARE * LOWEST_IDLE_TIMEOUT_MS
+  }))
+}
+
+/** How many exchanges an instance has ended because its buffers were full. */
+function evictions (fleet: SoakFleet, ip: string): number {
+  const instance = fleet.instances.find((one) => one.ip === ip)
+  return instance === undefined ? 0 : fleet.logOf(instance).split('buffers.exceeded').length - 1
+}
+
 async function injectFaults (fleet: SoakFleet, random: () => number, forMs: number, violations: string[]): Promise<SoakFault[]> {
   const pick = <T>(from: T[]): T => from[Math.floor(random() * from.length)] as T
   const pending: Array<Promise<void>> = []
--- a/src/soak/soak-faults.ts
+++ b/src/soak/soak-faults.ts
@@ -26,13 +26,18 @@
 /** A stopped process ends within its grace of eight seconds, in milliseconds. */
 const GRACE_MS = 8200
 
+/** Time after a pause in which a process catches up, in milliseconds. */
+const THAW_MS = 200
+
 function touch (instance: SoakInstance): SoakInstance {
   instance.touchedMs = performance.now()
   return instance
 }
 
 function restartAtExit ({ fleet, later }: FaultContext, instance: SoakInstance): void {
-  instance.process.once('exit', () => later(RESTART_MS, () => fleet.restart(instance)))
+  const ended = instance.process
+  // A process may be both stopped and killed; it is started again once.
+  ended.once('exit', () => later(RESTART_MS, () => { if (instance.process === ended) fleet.restart(instance) }))
 }
 
 /** What each fault does; several may overlap. */
@@ -41,23 +46,26 @@
     const instance = touch(context.pick(context.fleet.instances))
     if (instance.process.exitCode !== null || instance.process.signalCode !== null) return
     restartAtExit(context, instance)
-    instance.process.kill('SIGKILL')
+    context.fleet.end(instance, instance.process, 'SIGKILL')
   },
   [SoakFault.Terminate]: (context) => {
     const instance = touch(context.pick(context.fleet.instances))
     if (instance.process.exitCode !== null || instance.process.signalCode !== null) return
     const stopped = instance.process
     restartAtExit(context, instance)
-    stopped.kill('SIGTERM')
-    context.later(GRACE_MS, () => stopped.kill('SIGKILL'))
+    context.fleet.end(instance, stopped, 'SIGTERM')
+    context.later(GRACE_MS, () => context.fleet.end(instance, stopped, 'SIGKILL'))
   },
   [SoakFault.Pause]: ({ fleet, random, pick, later }) => {
     const instance = touch(pick(fleet.instances))
     const paused = instance.process
+    const cut = { fromMs: performance.now(), toMs: Infinity }
+    instance.cuts.push(cut)
     paused.kill('SIGSTOP')
     later(500 + 2500 * random(), () => {
       touch(instance)
       paused.kill('SIGCONT')
+      cut.toMs = performance.now() + THAW_MS
     })
   },
   [SoakFault.StoreLink]: ({ fleet, random, pick, later }) => {
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -1,12 +1,13 @@
 import { type ChildProcess, spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs'
+import { createWriteStream, mkdirSync, readFileSync, writeFileSync } from 'node:fs'
 import { join } from 'node:path'
 import type { Server } from 'node:net'
 import { configurationKey, platformConfiguration, platformServer, serverKey } from '../standin/platform-entries.js'
 import { PlatformRunnerStandIn, RunnerStage } from '../standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../standin/platform-store-standin.js'
 import { FaultyLink } from './faulty-link.js'
+import { OwnEnds } from './own-ends.js'
 import type { SoakLedger } from './soak-ledger.js'
 
 /** Limit of the heap in the deploy file, in MB. */
@@ -14,6 +15,13 @@
 
 const PORTS = { callers: 7101, readiness: 7102, directory: 7103, peers: 7104, metrics: 7105, store: 7106, runner: 7107 }
 
+/** What the fleet's configurations set for all routes and callers, in milliseconds and bytes. */
+interface FleetLimits {
+  timeoutMs?: number
+  idleTimeoutMs?: number
+  bodyBytes?: number
+}
+
 interface SoakFleetOptions {
   folder: string
   /** Second and third part of the loopback addresses, so that fleets don't meet. */
@@ -24,11 +32,17 @@
   graceS?: number
   /** Memory of each instance, in MB; their heaps are limited as in the deploy file. */
   memoryMb?: number
+  /** Limits of the first configuration; the usual ones by default. */
+  limits?: FleetLimits
 }
 
 export interface SoakInstance {
   ip: string
   process: ChildProcess
+  /** Whether the process has started its listeners, and with them its handlers of signals. */
+  started: boolean
+  /** Spans in which the process was killed or did not run, in milliseconds of the steady clock. */
+  cuts: Array<{ fromMs: number, toMs: number }>
   link: FaultyLink
   /** When a fault last touched it, in milliseconds of the steady clock. */
   touchedMs: number
@@ -41,10 +55,13 @@
   readonly instances: SoakInstance[] = []
   readonly #options: SoakFleetOptions
   readonly #added: string[] = []
+  readonly ownEnds = new OwnEnds()
+  #limits: FleetLimits
   #version = 1
 
   constructor (options: SoakFleetOptions) {
     this.#options = options
+    this.#limits = options.limits ?? {}
     mkdirSync(options.folder, { recursive: true })
   }
 
@@ -65,16 +82,19 @@
       const ip = this.#ip(10 + index)
       const link = new FaultyLink({ host: this.#ip(1), port: PORTS.store })
       await listen(link.server, ip, PORTS.store)
-      this.instances.push({ ip, link, process: this.#spawn(ip), touchedMs: performance.now() })
+      const instance: SoakInstance = { ip, link, process: this.#spawn(ip), started: false, cuts: [], touchedMs: performance.now() }
+      this.instances.push(instance)
+      this.#watch(instance)
     }
   }
 
-  /** Writes the next version of the configuration, which keeps all routes of those before, and returns the path of the route that is new in it. */
-  configure (): string {
+  /** Writes the next version of the configuration, which keeps all routes and limits of those before, and returns the path of the route that is new in it. */
+  configure (limits: FleetLimits = {}): string {
+    this.#limits = { ...this.#limits, ...limits }
     this.#version += 1
     const added = `/added-${this.#version}/`
     this.#added.push(added)
-    this.store.put(configurationKey, platformConfiguration({ version: this.#version, addedPaths: this.#added }))
+    this.store.put(configurationKey, platformConfiguration({ version: this.#version, addedPaths: this.#added, ...this.#limits }))
     return added
   }
 
@@ -87,7 +107,7 @@
     const ip = this.#ip(100 + index)
     const id = `i-${index}-${Math.floor(performance.now())}`
     const service = stage === RunnerStage.Plain ? 'plain' : 'model'
-    const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request) => this.#options.ledger.ran(request) })
+    const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request) => this.#options.ledger.ran(request), onBroken: (request) => this.#options.ledger.brokenOff.add(request) })
     await listen(standIn.server, ip, PORTS.runner)
     this.runners[index] = { id, ip, service, stage, standIn }
     this.store.put(serverKey(id), platformServer({ service, address: `${ip}:${PORTS.runner}`, stage }))
@@ -106,23 +126,47 @@
   restart (instance: SoakInstance): void {
     instance.touchedMs = performance.now()
     instance.process = this.#spawn(instance.ip)
+    this.#watch(instance)
+  }
+
+  /** Ends a process of an instance; what it then does is not its own end. */
+  end (instance: SoakInstance, child: ChildProcess, signal: 'SIGKILL' | 'SIGTERM'): void {
+    this.ownEnds.expectEnd(child)
+    const nowMs = performance.now()
+    if (signal === 'SIGKILL' && child.exitCode === null && child.signalCode === null) instance.cuts.push({ fromMs: nowMs, toMs: nowMs })
+    child.kill(signal)
+  }
+
+  /** Writes the settings file of an instance again, only the first half of it if asked to. The process is told only once it handles the signal. */
+  rewriteSettings (instance: SoakInstance, { half = false }: { half?: boolean } = {}): void {
+    const settings = this.#settings(instance.ip)
+    writeFileSync(this.#settingsFile(instance.ip), half ? settings.slice(0, settings.length / 2) : settings)
+    if (instance.started) instance.process.kill('SIGHUP')
+  }
+
+  /** The lines that the processes of an instance have written. */
+  logOf (instance: SoakInstance): string {
+    return readFileSync(join(this.#options.folder, `${instance.ip}.log`), 'utf8')
   }
 
   /** Ends exactly the processes and listeners that this fleet started. */
   async stop (): Promise<void> {
-    for (const { process: child, link } of this.instances) {
-      child.kill('SIGCONT')
-      child.kill('SIGKILL')
-      link.server.close()
+    for (const instance of this.instances) {
+      instance.process.kill('SIGCONT')
+      this.end(instance, instance.process, 'SIGKILL')
+      instance.link.server.close()
     }
     for (const { standIn } of this.runners) standIn.crash()
     this.store.server.close()
     this.store.server.closeAllConnections()
   }
 
-  #spawn (ip: string): ChildProcess {
-    const file = join(this.#options.folder, `${ip}.json`)
-    writeFileSync(file, JSON.stringify({
+  #settingsFile (ip: string): string {
+    return join(this.#options.folder, `${ip}.json`)
+  }
+
+  #settings (ip: string): string {
+    return JSON.stringify({
       id: `soak-${ip}`,
       ip,
       failureDomain: 'a',
@@ -138,7 +182,20 @@
       graceS: this.#options.graceS ?? 8,
       memoryMb: this.#options.memoryMb,
       repeats: { ratio: 0.2, slack: 60, windowS: 10 }
-    }))
+    })
+  }
+
+  #watch (instance: SoakInstance): void {
+    const { ip, process: child } = instance
+    this.ownEnds.watch(child, ip)
+    instance.started = false
+    child.stdout?.once('data', () => { instance.started = instance.process === child })
+    child.once('exit', () => { if (instance.process === child) instance.started = false })
+  }
+
+  #spawn (ip: string): ChildProcess {
+    const file = this.#settingsFile(ip)
+    writeFileSync(file, this.#settings(ip))
     const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, 'target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this.#options.folder, `${ip}.log`), { flags: 'a' })
     child.stdout.pipe(log)
--- a/src/soak/soak-ledger.ts
+++ b/src/soak/soak-ledger.ts
@@ -5,12 +5,18 @@
 /** What backend servers ran and callers saw; judges the promises that need no clock. */
 export class SoakLedger {
   readonly #runs = new Map<string, number>()
+  /** Requests whose server broke off its answer. */
+  readonly brokenOff = new Set<string>()
   readonly ends: CallEnd[] = []
 
   ran (id: string): void {
     this.#runs.set(id, (this.#runs.get(id) ?? 0) + 1)
   }
 
+  hasRun (id: string): boolean {
+    return this.#runs.has(id)
+  }
+
   violations (): string[] {
     const found: string[] = []
     for (const { id, kind, status, fault } of this.ends) {
--- a/src/soak/soak.ts
+++ b/src/soak/soak.ts
@@ -34,7 +34,7 @@
 for (const { seed, seconds } of plays) {
   const folder = join(tmpdir(), `daisybarrow-soak-${process.pid}-${seed}`)
   const outcome = await runSoak({ seed, folder, faultsMs: seconds * 1000, instances: cli.flags.instances, callers: cli.flags.callers })
-  process.stdout.write(`seed=${seed} calls=${outcome.calls} good=${outcome.good} faults=${outcome.faults.join(',')} violations=${outcome.violations.length} logs=${folder}\n`)
+  process.stdout.write(`seed=${seed} calls=${outcome.calls} good=${outcome.good} faults=${outcome.faults.join(',')} disturbances=${outcome.disturbances.join(',')} peakMb=${Math.round(outcome.peakMb)} violations=${outcome.violations.length} logs=${folder}\n`)
   for (const violation of outcome.violations) process.stdout.write(`  ${violation}\n`)
   if (outcome.violations.length > 0) failed += 1
 }
--- a/src/standin/platform-caller-standin.ts
+++ b/src/standin/platform-caller-standin.ts
@@ -78,9 +78,11 @@
 
 function send (agent: Agent, address: string, kind: CallKind, id: string): Promise<CallEnd> {
   return new Promise((resolve) => {
-    const end = (status: number | null, fault: string | null): void => {
+    const startedMs = performance.now()
+    let sentMs: number | null = null
+    const end = (status: number | null, fault: string | null, complete = false): void => {
       clearTimeout(timer)
-      resolve({ id, address, kind, status, fault })
+      resolve({ id, address, kind, status, fault, progress: { startedMs, sentMs, endedMs: performance.now(), complete, deadlineMs: CALL_DEADLINE_MS, answerBytes: 0 } })
     }
     const call = request(`http://${address}${paths[kind]}`, {
       agent,
@@ -92,10 +94,11 @@
         ...(kind === CallKind.Stream ? { 'X-Model': 'm', 'X-Token-Counts': '500,900', 'X-Length-Hint': '500' } : {})
       }
     }, (answer) => {
-      readText(answer).then(({ text, whole }) => end(answer.statusCode ?? null, whole && answer.statusCode === 200 ? faultOf(kind, id, answer, text) : null), () => end(null, null))
+      readText(answer).then(({ text, whole }) => end(answer.statusCode ?? null, whole && answer.statusCode === 200 ? faultOf(kind, id, answer, text) : null, whole), () => end(null, null))
     })
     const timer = setTimeout(() => call.destroy(), CALL_DEADLINE_MS)
     call.on('error', () => end(null, null))
+    call.on('finish', () => { sentMs = performance.now() })
     call.end()
   })
 }
--- a/src/standin/platform-entries.ts
+++ b/src/standin/platform-entries.ts
@@ -11,10 +11,18 @@
   return `${serverPrefix}${id}`
 }
 
+interface PlatformConfigurationOptions {
+  version: number
+  addedPaths: string[]
+  timeoutMs?: number
+  idleTimeoutMs?: number
+  bodyBytes?: number
+}
+
 /** A configuration as an operator writes it: orders, checks and streams, and the given paths to the plain service. */
-export function platformConfiguration ({ version, addedPaths }: { version: number, addedPaths: string[] }): unknown {
+export function platformConfiguration ({ version, addedPaths, timeoutMs = 3000, idleTimeoutMs = 15_000, bodyBytes = 65_536 }: PlatformConfigurationOptions): unknown {
   const route = (path: string, kind: string, service: string, more: object = {}): object => ({
-    Name: path, Host: HOST, PathPrefix: path, Kind: kind, TimeoutMs: 3000, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
+    Name: path, Host: HOST, PathPrefix: path, Kind: kind, TimeoutMs: timeoutMs, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
   })
   return {
     Version: version,
@@ -28,7 +36,7 @@
       { Name: 'plain', MaxConnections: 100 },
       { Name: 'model', MaxConnections: 100, Engine: { Slots: 16, KvCacheTokens: 20_000, Stride: 40 } }
     ],
-    Limits: { HeaderBytes: 16384, BodyBytes: 65536, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 }
+    Limits: { HeaderBytes: 16384, BodyBytes: bodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: idleTimeoutMs }
   }
 }
 
--- a/src/standin/platform-runner-standin.ts
+++ b/src/standin/platform-runner-standin.ts
@@ -19,6 +19,13 @@
   stage: RunnerStage
   /** Told of each request that begins to run here. */
   onRun: (requestId: string) => void
+  /** Told of each request that ran here and whose answer breaks off. */
+  onBroken?: (requestId: string) => void
+}
+
+/** The body of the answer to a plain request; the last part of the path may ask for its size. */
+export function plainAnswer (id: string, url: string): string {
+  return `answer to ${id}`.padEnd(Number(/\/bytes-(\d+)$/.exec(url)?.[1] ?? 0), '.')
 }
 
 /** Takes the place of a backend server on the platform: plain, prefill or decode. */
@@ -29,12 +36,16 @@
   readonly #active = new Set<string>()
   /** Share of the plain answers that are lost after the request ran. */
   lostShare = 0
+  /** Until when it sends nothing, in milliseconds of the steady clock. */
+  silentUntilMs = 0
+  /** Answers requests that run in its place; null while it is sound. */
+  faultyAnswer: ((id: string, response: ServerResponse) => void) | null = null
 
   constructor (options: PlatformRunnerOptions) {
     this.#options = options
     this.server = createServer((request, response) => {
       request.resume()
-      request.on('end', () => this.#serve(request, response))
+      request.on('end', () => this.#afterSilence(() => { if (!response.destroyed) this.#serve(request, response) }))
     })
     this.server.on('connection', (socket) => {
       this.#sockets.add(socket)
@@ -49,10 +60,17 @@
   /** Ends at once, with every connection and all running work. */
   crash (): void {
     this.server.close()
+    for (const id of this.#active) this.#options.onBroken?.(id)
     for (const socket of this.#sockets) socket.resetAndDestroy()
     this.#active.clear()
   }
 
+  #afterSilence (action: () => void): void {
+    const silentMs = this.silentUntilMs - performance.now()
+    if (silentMs > 0) setTimeout(() => this.#afterSilence(action), silentMs)
+    else action()
+  }
+
   #serve (request: IncomingMessage, response: ServerResponse): void {
     const id = String(request.headers['x-request-id'] ?? '')
     const expected = request.headers['x-expect-instance']
@@ -75,25 +93,30 @@
     this.#options.onRun(id)
     this.#active.add(id)
     response.on('close', () => this.#active.delete(id))
-    if (this.#options.stage === RunnerStage.Plain) this.#answer(id, response)
+    if (this.faultyAnswer !== null) {
+      this.#options.onBroken?.(id)
+      this.faultyAnswer(id, response)
+    } else if (this.#options.stage === RunnerStage.Plain) this.#answer(id, request.url ?? '', response)
     else this.#stream(id, Number(request.headers['last-event-id'] ?? 0), response)
   }
 
-  #answer (id: string, response: ServerResponse): void {
-    setTimeout(() => {
+  #answer (id: string, url: string, response: ServerResponse): void {
+    setTimeout(() => this.#afterSilence(() => {
       if (Math.random() < this.lostShare) {
+        this.#options.onBroken?.(id)
         response.destroy()
         return
       }
-      const body = `answer to ${id}`
+      const body = plainAnswer(id, url)
       response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Length': body.length }).end(body)
-    }, WORK_MS)
+    }), WORK_MS)
   }
 
   #stream (id: string, after: number, response: ServerResponse): void {
     response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Type': 'text/event-stream' })
     let event = after
     const timer = setInterval(() => {
+      if (performance.now() < this.silentUntilMs) return
       event += 1
       response.write(`id: ${event}\ndata: ${id}\n\n`)
       if (event < STREAM_EVENTS) return
