Test that nothing is sent to another server once the first one has begun to answer

A permit for the other server may arrive after the first one has answered or begun to. Without the check in PlainForwarder the second case fails (two sends instead of one).

--- a/test/gateway/plain-forwarding.test.ts
+++ b/test/gateway/plain-forwarding.test.ts
@@ -188,6 +188,27 @@
     })
   })
 
+  // Guards against second runs of a request whose first server has gone on meanwhile.
+  test.each<[string, ScriptedReaction]>([
+    ['has answered', { parts: ['late'], silentMs: 250 }],
+    ['has begun to answer', { parts: ['la', 'te'], silentMs: 250, pauseMs: 300 }]
+  ])('sends nothing to another server if the first one %s by the time that a permit for the other is there', async (_name, reaction) => {
+    const { responder, backendClient, retryBudget, done } = startForwarding({
+      slack: 2,
+      route: { timeoutMs: 2000 },
+      prepare: ({ limits, limitClient }) => {
+        limits.observe(backend({ id: 'b2' }), 100, 0)
+        limitClient.acquire = () => new Promise((resolve) => setTimeout(resolve, 100, { admitted: true, waitMs: 0 }))
+      },
+      respond: () => reaction
+    })
+    await done
+    await new Promise((resolve) => setTimeout(resolve, 150))
+    expect(responder).toMatchObject({ status: 200, text: 'late' })
+    expect(backendClient.sent).toHaveLength(1)
+    expect(retryBudget.tryConsume('plain')).toBe(true)
+  })
+
   // Guards against more servers at work on a request than its route allows, now that several may work at once.
   test('sends a request to no more servers than the route allows while all are silent, and cancels all exchanges when the caller leaves', async () => {
     const { responder, backendClient, pending } = startForwarding({ route: { timeoutMs: 2000, attempts: 3 }, serverCount: 5, respond: () => 'silent' })
