--- a/src/gateway/backend.ts
+++ b/src/gateway/backend.ts
@@ -1,3 +1,7 @@
+import { isIPv4 } from 'node:net'
+
+const MAX_PORT = 65_535
+
 /** Stage of a model request that a runner computes. */
 export enum RunnerRole {
   Prefill = 'prefill',
@@ -32,3 +36,9 @@
 export function incarnationOf (backend: BackendServer): string {
   return `${backend.id}@${backend.startedAtMs}@${backend.address}`
 }
+
+/** Whether a connection can be made to this address: Node.js throws for a port out of range and looks up a malformed IP address as a host name. */
+export function isServerAddress (text: string): boolean {
+  const [ip = '', port = '', ...rest] = text.split(':')
+  return rest.length === 0 && isIPv4(ip) && /^\d{1,5}$/.test(port) && Number(port) >= 1 && Number(port) <= MAX_PORT
+}
--- a/src/gateway/peer-snapshot.ts
+++ b/src/gateway/peer-snapshot.ts
@@ -8,6 +8,7 @@
 import type { Configuration } from './configuration.js'
 import type { DepartedServer } from './departed-servers.js'
 import { sendControlRequest, type Transfer } from './control-request.js'
+import { snapshotSchema } from './snapshot-schema.js'
 import { comparePositions, type StorePosition } from './store-position.js'
 
 export const SNAPSHOT_PATH = '/snapshot'
@@ -107,7 +108,7 @@
     if (status !== 200) throw new Error(`status ${status} for the snapshot request to ${ip}`)
     // Peers of older versions send snapshots uncompressed.
     const plain = headers['content-encoding'] === SNAPSHOT_CODING ? await decompress(bytes, hold) : bytes
-    return { snapshot: decodeBoundedCbor(plain) as PeerSnapshot, transfer }
+    return { snapshot: snapshotSchema.parse(decodeBoundedCbor(plain)), transfer }
   } finally {
     hold.release()
   }
--- a/test/gateway/peer-snapshot.test.ts
+++ b/test/gateway/peer-snapshot.test.ts
@@ -1,10 +1,10 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { once } from 'node:events'
-import { get } from 'node:http'
+import { createServer, get } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import { decode } from 'cbor-x'
+import { decode, encode } from 'cbor-x'
 import { createPeerListener } from '../../src/gateway/peer-listener.js'
-import { fetchSnapshot } from '../../src/gateway/peer-snapshot.js'
+import { fetchSnapshot, type PeerSnapshot } from '../../src/gateway/peer-snapshot.js'
 import type { Configuration } from '../../src/gateway/configuration.js'
 import type { StorePosition } from '../../src/gateway/store-position.js'
 import { ThrottledLink } from '../platform/throttled-link.js'
@@ -79,6 +79,45 @@
     expect(eras).toEqual([1, 2])
   })
 
+  async function fetchOnce (bytes: Buffer): Promise<PeerSnapshot> {
+    const server = createServer((_request, response) => { response.end(bytes) })
+    server.listen(0, '127.0.0.1')
+    await once(server, 'listening')
+    cleanups.push(() => server.close())
+    return (await fetchSnapshot({ ip: '127.0.0.1', port: (server.address() as AddressInfo).port, buffers: unboundedBuffers() })).snapshot
+  }
+
+  const plain = { revision: 12, configuration: null, backends: [backend()] }
+
+  // Guards against an instance whose state is replaced by something that it can't use, because a peer sent an odd snapshot.
+  test.each([
+    ['nothing', undefined],
+    ['a text', 'odd'],
+    ['a list', [1]],
+    ['no revision', { ...plain, revision: undefined }],
+    ['a revision that no store reaches', { ...plain, revision: 1e300 }],
+    ['an era of the wrong type', { ...plain, era: '1' }],
+    ['servers of the wrong type', { ...plain, backends: 'b1' }],
+    ['an odd route', { ...plain, configuration: configuration({ routes: [route({ services: null as never })] }) }],
+    ['no limits', { ...plain, configuration: { ...configuration(), limits: undefined } }]
+  ])('rejects a snapshot with %s', async (_name, value) => {
+    await expect(fetchOnce(encode(value))).rejects.toThrow()
+  })
+
+  // Guards against an odd server in a snapshot that hides the others or is connected to.
+  test('takes the sound servers of a snapshot beside odd ones', async () => {
+    const odd = [null, 'b2', { id: 'b3' }, backend({ id: 'b4', address: '10.0.0.1:99999' }), backend({ id: 'b5', address: 'host:80' }), backend({ id: 'b 6' }), backend({ id: 'b7', state: 'odd' as never }), backend({ id: 'b8', slots: NaN })]
+    const { backends, missing, departed } = await fetchOnce(encode({ ...plain, backends: [...odd, backend({ id: 'b9' })], missing: [null, { id: 'b1', ageMs: 'x' }, { id: 'b2', ageMs: 5 }], departed: [{}] }))
+    expect([backends.map(({ id }) => id), missing, departed]).toEqual([['b9'], [{ id: 'b2', ageMs: 5 }], []])
+  })
+
+  test('takes snapshots of older and newer versions, which lack fields or have more', async () => {
+    const { longestPauseMs: _newer, ...older } = route()
+    const taken = await fetchOnce(encode({ ...plain, configuration: configuration({ routes: [older as never] }), backends: [{ ...backend(), more: 1 }], more: [1] }))
+    expect(taken).toMatchObject({ revision: 12, backends: [backend()], configuration: { routes: [{ ...older, longestPauseMs: 0 }] } })
+    expect('more' in taken).toBe(false)
+  })
+
   test('is uncompressed for instances of older versions, which ask for no encoding', async () => {
     const port = await serveSnapshots(() => configuration({ version: 4 }))
     const bytes = await new Promise<Buffer>((resolve, reject) => {
