Give up answers in chunks of a few bytes

Callers saw: every request on an instance waited for seconds while a server sent answers in chunks of one byte.

Cause: each chunk is parsed and announced by itself, at some microseconds, so that a byte costs as much work as kilobytes in one piece. The limits of a body count bytes, not the work for them.

Change: a plain answer, and one of the store, a peer or a runner, is given up after 4,096 chunks if these have less than 16 bytes on average. The outcome is that of a broken answer. Streams are not read by this code.

Without the change, the new test of http-exchange gets the whole body of 20,000 bytes in place of null, and that of control-request 'promise resolved instead of rejected'.

--- a/src/gateway/control-request.ts
+++ b/src/gateway/control-request.ts
@@ -2,6 +2,7 @@
 import { OversizeError } from './bounded-decoding.js'
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
+import { ChunkSizes } from './chunk-sizes.js'
 import { limitInterimResponses } from './http-exchange.js'
 
 export interface TransferLimits {
@@ -124,6 +125,7 @@
     request.on('error', fail)
     request.on('response', (response) => {
       const body = new ByteCollector({ onGrowth: (bytes) => buffers.add(bytes) })
+      const sizes = new ChunkSizes()
       headMs = performance.now() - startedMs
       onHead?.({ status: response.statusCode ?? 0, headers: response.headers })
       timeouts.markProgress()
@@ -131,6 +133,7 @@
         timeouts.markProgress()
         receivedBytes += chunk.length
         if (receivedBytes > maxBytes) request.destroy(new OversizeError(`response over ${maxBytes} bytes`))
+        else if (!sizes.accept(chunk.length)) abort('chunks too small')
         else body.push(chunk)
       })
       response.on('error', fail)
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -3,6 +3,7 @@
 import type { Duplex } from 'node:stream'
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
+import { ChunkSizes } from './chunk-sizes.js'
 import { ExchangeOutcome } from './exchange-outcome.js'
 
 /** Longest wait for a new connection, in milliseconds. Connecting usually takes about 1 ms, and TCP resends a lost SYN only after 1 s. */
@@ -237,7 +238,7 @@
   timeoutMs?: number
 }
 
-/** Reads the complete response body; null if it is incomplete, exceeds a limit or takes too long. Then the connection is closed. */
+/** Reads the complete response body; null if it is incomplete, exceeds a limit, has too small chunks or takes too long. Then the connection is closed. */
 export function readBody ({ message, isComplete }: ResponseHead, { limitBytes, buffers, timeoutMs }: BodyOptions): Promise<Buffer | null> {
   return new Promise((resolve) => {
     let countedBytes = 0
@@ -257,9 +258,13 @@
       const timer = setTimeout(() => message.destroy(), timeoutMs)
       message.on('close', () => clearTimeout(timer))
     }
-    message.on('data', (chunk: Buffer) => {
-      if (body.length + chunk.length > limitBytes || !body.push(chunk)) message.destroy()
-    })
+    const sizes = new ChunkSizes()
+    const take = (chunk: Buffer): void => {
+      if (sizes.accept(chunk.length) && body.length + chunk.length <= limitBytes && body.push(chunk)) return
+      message.off('data', take)
+      message.destroy()
+    }
+    message.on('data', take)
     message.on('end', () => {
       if (isComplete()) resolve(body.bytes())
       else fail()
--- a/test/gateway/control-request.test.ts
+++ b/test/gateway/control-request.test.ts
@@ -109,6 +109,15 @@
     await expect(send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow('more than 16 interim responses')
   })
 
+  // Guards against a server whose chunks of one byte keep the process busy for seconds.
+  test('rejects a long response in chunks of a few bytes', async () => {
+    const address = await serve((_request, response) => {
+      for (let count = 0; count < 20_000; count += 1) response.write('a')
+      response.end()
+    })
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 2000 })).rejects.toThrow('chunks too small')
+  })
+
   // Guards against an instance that runs out of memory because answers of the store, of peers and of runners are not counted.
   test('counts a response until its hold is released, and rejects one for which there is no memory', async () => {
     const address = await serve((request, response) => { response.end(Buffer.alloc(Number(request.url?.slice(1)))) })
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -73,6 +73,21 @@
     expect(received).toBe(1)
   })
 
+  // Guards against a server whose chunks of one byte keep the process busy for seconds.
+  test('gives up a long body in chunks of a few bytes, and takes a short one and one of small chunks', async () => {
+    const send = (chunk: string, count: number) => (socket: Socket): void => {
+      socket.write(`HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n${`${chunk.length.toString(16)}\r\n${chunk}\r\n`.repeat(count)}0\r\n\r\n`)
+    }
+    const address = await serve(send('a', 4000), send('a', 20_000), send('a'.repeat(32), 20_000))
+    const lengths: Array<number | null> = []
+    for (let count = 0; count < 3; count += 1) {
+      const head = await get(new HttpExchangeClient(), address)
+      if (isFailure(head)) throw new Error(head.detail)
+      lengths.push((await readBody(head, { limitBytes: 1024 * 1024, buffers: unboundedBuffers().hold('server') }))?.length ?? null)
+    }
+    expect(lengths).toEqual([4000, null, 640_000])
+  })
+
   // Guards against a server that keeps the process busy until the head timeout with interim responses without end.
   test('ends an exchange as broken after a small number of interim responses', async () => {
     const interim = 'HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n'
