Refuse a request at its deadline if it is still not served

Callers saw: for a request that waited behind another one on its connection, 504 after its deadline, which does not say that it has not run; and for an upload that stops midway, no answer at all.

Cause: the timer of a request started only when it was served. One whose turn came after its deadline was still sent to a server, with no time left, and its server may have run it. An upload had no timer, and its bytes were kept until the caller closed the connection.

Evidence: in test/platform/waiting-requests five tests fail on the commit before: "is refused as not run if its turn comes after its deadline" (the server received q2, status 504; expected only q1 and q3, status 503; on the stream route 'overloaded' in place of 'timed-out-before-run'), "gives up its buffers at its deadline" (3,000 bytes kept, expected 0) and "is refused at the deadline" and "at the timeout of the route" (no bytes in 5 s).

Change: from its arrival on a request has a timer, which ends when it is served. At its deadline or its route's timeout it is refused as not run, in its turn; if no route selects it, after 60 s. The gateway refuses what is served later than that, which also holds for the requests that wait for the first configuration. A test of the gateway served a request whose time had long passed by its clock; it now arrives at the time of the clock.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 import { PromptQuarantine, type SuspectReport } from './prompt-quarantine.js'
 import { RetryBudget } from './retry-budget.js'
 import { RoleRebalancer } from './role-rebalancer.js'
-import { chooseService, RouteTable } from './route-table.js'
+import { chooseService, longestWaitMs, RouteTable } from './route-table.js'
 import { ServerHealth } from './server-health.js'
 import { ServerPauses } from './server-pauses.js'
 import { applySettings } from './settings-reload.js'
@@ -330,11 +330,18 @@
     else handler(this.#scheduler, message)
   }
 
+  /** Longest time from the arrival of a request until its refusal if it can't be served before, in milliseconds. */
+  longestWaitMs (request: Pick<CallerRequest, 'host' | 'path' | 'deadlineMs'>): number {
+    return longestWaitMs(request, this.#routes?.select(request.host, request.path))
+  }
+
   /** Serves one request of a caller. The request ends exactly once: with a response, a refusal, an aborted response or the caller's disconnect. */
   serve (request: CallerRequest, responder: Responder): void {
     const route = this.#routes?.select(request.host, request.path)
     if (route === undefined) return this.#refuseUnrouted(request, responder)
     if (this.#refusesNewRequests || !this.#lateAcceptance.accepts(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.Stopping, RETRY_ELSEWHERE_MS)
+    // It may have waited behind another request on its connection, or for the first configuration.
+    if (this.#options.nowMs() - request.arrivedMs >= longestWaitMs(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.TimedOutBeforeRun, null)
     const service = chooseService(route, this.#options.random())
     if (service === undefined) return this.#refuseImmediately(request, responder, GatewayRefusal.NoServer, RETRY_ELSEWHERE_MS)
     const pending = new PendingRequest({ request, route, service, responder, nowMs: this.#options.nowMs })
@@ -343,11 +350,7 @@
       this.#pendingRequests.delete(pending)
       if (ending === 'answered') this.#lateAcceptance.recordDuration(route, pending.ageMs())
       this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
-      this.#options.log.info('request.ended', {
-        ...pending.endFields(ending),
-        configuration: this.#routes?.version ?? -1,
-        storeRevision: this.storePosition.revision
-      })
+      this.#options.log.info('request.ended', { ...pending.endFields(ending), configuration: this.#routes?.version ?? -1, storeRevision: this.storePosition.revision })
     }
     this.#forwardingContext.retryBudget.recordRequest(service)
     const isModelRequest = request.generationParameters !== null && this.#routes?.service(service)?.engine != null
--- a/src/gateway/late-acceptance.ts
+++ b/src/gateway/late-acceptance.ts
@@ -1,6 +1,7 @@
 import type { CallerRequest } from './caller-request.js'
 import type { Route } from './configuration.js'
 import { mayRunTwice } from './exchange-outcome.js'
+import { longestWaitMs } from './route-table.js'
 import { UsualDuration } from './usual-duration.js'
 
 /** Decides which requests are still accepted once the process is known to exit soon. */
@@ -17,8 +18,7 @@
   /** A request that may run only once is refused unless it is likely to end in time: cut, it would be lost, while another instance can still serve it. */
   accepts (request: CallerRequest, route: Route): boolean {
     const leftMs = this.exitMs - this.#nowMs()
-    const allowedMs = Math.min(request.deadlineMs ?? Infinity, route.timeoutMs)
-    return allowedMs <= leftMs || mayRunTwice(route) || this.#usualDuration.of(route.name) <= leftMs
+    return longestWaitMs(request, route) <= leftMs || mayRunTwice(route) || this.#usualDuration.of(route.name) <= leftMs
   }
 
   /** Records how long an answered request has lasted. */
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -3,6 +3,7 @@
 import type { Exchange } from './http-exchange.js'
 import type { LogFields } from '../logs/log.js'
 import { GatewayRefusal } from './refusal.js'
+import { longestWaitMs } from './route-table.js'
 
 /** Extra wait past the deadline, in milliseconds. A server that stops at the deadline sends a response of its own; the gateway refuses the request only if that response does not arrive in this time. */
 const FINAL_RESPONSE_MARGIN_MS = 40
@@ -79,8 +80,7 @@
 
   /** Time left until the caller's deadline or the route's timeout, whichever is earlier; 0 once it has passed. */
   remainingMs (): number {
-    const allowedMs = Math.min(this.request.deadlineMs ?? Infinity, this.route.timeoutMs)
-    return Math.max(0, allowedMs - this.ageMs())
+    return Math.max(0, longestWaitMs(this.request, this.route) - this.ageMs())
   }
 
   /** Time since the request arrived, in milliseconds. */
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -1,5 +1,9 @@
+import type { CallerRequest } from './caller-request.js'
 import type { CallerLimits, Configuration, Route, Service } from './configuration.js'
 
+/** Longest time to receive a request that no route selects, in milliseconds. */
+const MAX_UNROUTED_WAIT_MS = 60_000
+
 /** Routes and services of one configuration; the routes are indexed by host and path prefix. */
 export class RouteTable {
   readonly version: number
@@ -48,6 +52,11 @@
   return route.services.at(-1)?.service
 }
 
+/** Time from the arrival of a request until its deadline or its route's timeout, whichever is earlier, in milliseconds; `route` is undefined if none selects the request. */
+export function longestWaitMs (request: Pick<CallerRequest, 'deadlineMs'>, route: Route | undefined): number {
+  return Math.min(request.deadlineMs ?? Infinity, route?.timeoutMs ?? MAX_UNROUTED_WAIT_MS)
+}
+
 function withoutPort (host: string): string {
   const colon = host.lastIndexOf(':')
   return colon === -1 ? host : host.slice(0, colon)
--- a/test/gateway/gateway.test.ts
+++ b/test/gateway/gateway.test.ts
@@ -161,7 +161,7 @@
   test('answers a request that a fault ends as one of unknown outcome', async () => {
     const { gateway } = servingInstance(() => { throw new Error('scripted') })
     const responder = new RecordingResponder()
-    gateway.serve(callerRequest({ path: '/order/x', target: '/order/x' }), responder)
+    gateway.serve(callerRequest({ path: '/order/x', target: '/order/x', arrivedMs: LISTENING_MS }), responder)
     await flushEventLoop()
     expect(responder.refusal).toBe('outcome-unknown')
   })
--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -16,6 +16,7 @@
 async function sendRaw (bytes: string, options: { serve: (request: CallerRequest, responder: Responder) => void, stopping?: boolean, until?: string, onError?: (error: NodeJS.ErrnoException) => void }): Promise<string> {
   server = createCallerListener({
     serve: options.serve,
+    longestWaitMs: () => 5000,
     limits: () => ({ headerBytes: 1000, bodyBytes: 10, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }),
     buffers: unboundedBuffers(),
     stopping: () => options.stopping ?? false,
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -108,6 +108,7 @@
   const ticks = setInterval(() => gateway.tick(), 20)
   const callers = createCallerListener({
     serve: (request, responder) => gateway.serve(request, responder),
+    longestWaitMs: (request) => gateway.longestWaitMs(request),
     limits: () => gateway.configuration?.limits ?? null,
     buffers,
     stopping: () => gateway.stopping,
--- a/test/platform/waiting-requests.test.ts
+++ b/test/platform/waiting-requests.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { recordingLog } from '../gateway/gateway-fixtures.js'
-import { answerTo, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
+import { answerTo, gatewayConfiguration, type HttpGateway, requestBytes, requestIdOf, type ScriptedServer, startGateway, startServer } from './http-gateway.js'
 
 let server: ScriptedServer | undefined
 let instance: HttpGateway | undefined
@@ -32,6 +32,29 @@
     expect([server.received.map(requestIdOf), statusLines(caller.text())]).toEqual([['q1', 'q3'], ['HTTP/1.1 200', 'HTTP/1.1 503']])
     expect([instance.log.lines.filter((line) => line.startsWith('request.fault')), buffers.heldBytes]).toEqual([[], 0])
   })
+
+  // Guards against requests that run after their time, and against a 504, which does not say that they have not run.
+  test.each(['/once/x', '/stream/x'])('is refused as not run if its turn comes after its deadline: %s', async (path) => {
+    server = await startServer((socket, head) => { setTimeout(() => socket.write(answerTo(head)), 300) })
+    instance = await startGateway(server.address)
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', path, { method: 'POST', headers: 'X-Deadline-Ms: 100\r\nX-Token-Counts: 10,10\r\n', body: 'b' }) + requestBytes('q3', '/once/x'))
+    await caller.until('X-Request-Id: q3')
+    expect([server.received.map(requestIdOf), statusLines(caller.text())]).toEqual([['q1', 'q3'], ['HTTP/1.1 200', 'HTTP/1.1 503', 'HTTP/1.1 200']])
+    expect(caller.text()).toContain('timed-out-before-run')
+  })
+
+  // Guards against bytes that are kept for requests which nobody waits for any more.
+  test('gives up its buffers at its deadline', async () => {
+    server = await startServer(() => {})
+    const buffers = new BufferBudget({ limitBytes: 50_000, log: recordingLog() })
+    instance = await startGateway(server.address, { buffers })
+    const caller = instance.call()
+    caller.socket.write(requestBytes('q1', '/once/x') + requestBytes('q2', '/once/x', { method: 'POST', headers: 'X-Deadline-Ms: 100\r\n', body: 'b'.repeat(3000) }))
+    while (buffers.heldBytes < 3000) await delay(5)
+    await delay(200)
+    expect([buffers.heldBytes, caller.closedBy()]).toEqual([0, null])
+  })
 })
 
 describe('requests on one connection', () => {
@@ -51,6 +74,19 @@
 })
 
 describe('a request that is refused while it is uploaded', () => {
+  // Guards against uploads that stop midway and keep their connection and their bytes for ever.
+  test.each([['the deadline', 'X-Deadline-Ms: 200\r\n', 200], ['the timeout of the route', '', 500]])('is refused at %s', async (_name, headers, atMs) => {
+    server = await startServer(() => {})
+    instance = await startGateway(server.address)
+    instance.gateway.applyConfiguration(gatewayConfiguration(2, 500), 'store')
+    const caller = instance.call()
+    const startedMs = performance.now()
+    caller.socket.write(requestBytes('q1', '/once/x', { method: 'POST', headers, body: 'bytes' }).slice(0, -2))
+    expect(await caller.until('timed-out-before-run')).toMatch(/^HTTP\/1\.1 503 [^]*Connection: close/)
+    expect(performance.now() - startedMs).toBeGreaterThan(atMs - 10)
+    expect(performance.now() - startedMs).toBeLessThan(atMs + 200)
+  })
+
   // Guards against refusals that a caller who reads only after it has written never gets, because its further bytes reset the connection.
   test('gets the refusal although it still sends when the refusal is written', async () => {
     server = await startServer(() => {})
