--- a/test/platform/waiting-requests.test.ts
+++ b/test/platform/waiting-requests.test.ts
@@ -118,3 +118,21 @@
     expect(instance.callers.unsentResponses).toBe(0)
   })
 })
+
+describe('many requests on one connection', () => {
+  // Guards against the memory of requests that a caller sends without end before it has read an answer.
+  test('are read only as the answers before them are sent', async () => {
+    server = await startServer((socket, head, requestNumber) => { setTimeout(() => socket.write(answerTo(head)), requestNumber === 1 ? 500 : 0) })
+    instance = await startGateway(server.address)
+    instance.gateway.applyConfiguration(gatewayConfiguration(2, 10_000), 'store')
+    let arrived = 0
+    instance.callers.on('request', () => { arrived += 1 })
+    const caller = instance.call()
+    caller.socket.write(Array.from({ length: 1000 }, (_, index) => requestBytes(`q${index}`, '/once/x', { headers: `X-Pad: ${'a'.repeat(200)}\r\n` })).join(''))
+    await delay(400)
+    expect(arrived).toBeLessThan(500)
+    await caller.until('X-Request-Id: q999')
+    await delay(50)
+    expect([statusLines(caller.text()).filter((line) => line.endsWith('200')).length, instance.callers.unsentResponses]).toEqual([1000, 0])
+  }, 15_000)
+})
