--- a/src/soak/process-watch.ts
+++ b/src/soak/process-watch.ts
@@ -13,7 +13,7 @@
 /** Watches the resident memory of the processes of a fleet, and whether one ends by itself. */
 export class ProcessWatch {
   readonly #options: ProcessWatchOptions
-  readonly #exceeded = new Map<number, string>()
+  readonly #exceeded = new Map<number, { ip: string, peakMb: number, since: string }>()
   #timer: NodeJS.Timeout | undefined
   peakMb = 0
 
@@ -31,7 +31,9 @@
   }
 
   violations (): string[] {
-    return [...this.#exceeded.values(), ...this.#options.fleet.ownEnds.violations]
+    const { memoryMb } = this.#options
+    const exceeded = [...this.#exceeded.values()].map(({ ip, peakMb, since }) => `${ip}: its process used ${Math.round(peakMb)} MB of ${memoryMb} MB, more than allowed since ${since}`)
+    return [...exceeded, ...this.#options.fleet.ownEnds.violations]
   }
 
   #look (): void {
@@ -39,7 +41,7 @@
     for (const { ip, process: { pid } } of fleet.instances) {
       const peakMb = pid === undefined ? 0 : peakResidentMb(pid)
       this.peakMb = Math.max(this.peakMb, peakMb)
-      if (pid !== undefined && peakMb > memoryMb) this.#exceeded.set(pid, `${ip}: its process used ${Math.round(peakMb)} MB of ${memoryMb} MB`)
+      if (pid !== undefined && peakMb > memoryMb) this.#exceeded.set(pid, { ip, peakMb, since: this.#exceeded.get(pid)?.since ?? new Date().toISOString() })
     }
   }
 }
--- a/test/soak/process-watch.test.ts
+++ b/test/soak/process-watch.test.ts
@@ -16,7 +16,7 @@
     await once(child.stdout as NodeJS.EventEmitter, 'data')
     const watch = new ProcessWatch({ fleet: { instances: [{ ip: '10.0.0.1', process: child }] as never, ownEnds: new OwnEnds() }, memoryMb })
     watch.stop()
-    expect(watch.violations()).toEqual(Array(reports).fill(expect.stringMatching(/^10\.0\.0\.1: its process used [23]\d\d MB of 100 MB$/)))
+    expect(watch.violations()).toEqual(Array(reports).fill(expect.stringMatching(/^10\.0\.0\.1: its process used [23]\d\d MB of 100 MB, more than allowed since 2/)))
   })
 
   // Guards against a soak that does not notice a process that ends by itself, and against one that takes an end of its own making for it.
