Pass large answers on in parts

Cause: a complete body was joined into one buffer before it was written, so each large answer occupied twice its size for a moment, and the budget counted half of it.

The parts that were received are now written as they are.

--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -239,7 +239,7 @@
 }
 
 /** Reads the complete response body; null if it is incomplete, exceeds a limit, has too small chunks or takes too long. Then the connection is closed. */
-export function readBody ({ message, isComplete }: ResponseHead, { limitBytes, buffers, timeoutMs }: BodyOptions): Promise<Buffer | null> {
+export function readBody ({ message, isComplete }: ResponseHead, { limitBytes, buffers, timeoutMs }: BodyOptions): Promise<ByteCollector | null> {
   return new Promise((resolve) => {
     let countedBytes = 0
     const body = new ByteCollector({
@@ -266,7 +266,7 @@
     }
     message.on('data', take)
     message.on('end', () => {
-      if (isComplete()) resolve(body.take())
+      if (isComplete()) resolve(body)
       else fail()
     })
     message.on('error', fail)
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -1,4 +1,5 @@
 import { type BackendServer, RunnerRole } from './backend.js'
+import type { ByteCollector } from './byte-collector.js'
 import { mayRunTwice, mayTryOtherServer, ExchangeOutcome } from './exchange-outcome.js'
 import { chargeAtTimeout, sendWaitMs, refuseWithheld, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
@@ -31,7 +32,7 @@
 
 interface CompleteResponse {
   head: ResponseHead
-  body: Buffer
+  body: ByteCollector
 }
 
 type AttemptResult = CompleteResponse | Exclude<SendResult, { outcome: ExchangeOutcome.Answered }>
@@ -252,6 +253,6 @@
 function sendResponse (pending: PendingRequest, { head, body }: CompleteResponse): void {
   pending.markHeadSent()
   pending.responder.writeHead(head)
-  pending.responder.write(body)
+  for (const part of body.parts()) pending.responder.write(part)
   pending.complete()
 }
--- a/src/gateway/prompt-prefill.ts
+++ b/src/gateway/prompt-prefill.ts
@@ -129,7 +129,7 @@
     const startedMs = this.#context.nowMs()
     const result = await this.#sendOnAnyConnection(prefillServer)
     const body = result.outcome === ExchangeOutcome.Answered ? await readBody(result.head, { limitBytes: MAX_BODY_BYTES, buffers: pending.responder.buffers, timeoutMs: Math.max(0, startedMs + PREFILL_TIMEOUT_MS - this.#context.nowMs()) }) : null
-    const kvCache = body === null ? null : backendClient.parsePrefillResponse(prefillServer, body)
+    const kvCache = body === null ? null : backendClient.parsePrefillResponse(prefillServer, body.bytes())
     if (kvCache !== null) {
       this.#computedMs = this.#context.nowMs()
       const tokens = pending.request.generationParameters?.promptTokens ?? 0
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -325,7 +325,7 @@
     if (body === null) return ExchangeOutcome.Broken
     pending.markHeadSent()
     pending.responder.writeHead(head)
-    pending.responder.write(body)
+    for (const part of body.parts()) pending.responder.write(part)
     pending.complete()
     return null
   }
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -35,7 +35,7 @@
 
 async function bodyOf (head: Head): Promise<string | null> {
   if (isFailure(head)) throw new Error(head.detail)
-  return (await readBody(head, { limitBytes: LIMIT_BYTES, buffers: unboundedBuffers().hold('server') }))?.toString() ?? null
+  return (await readBody(head, { limitBytes: LIMIT_BYTES, buffers: unboundedBuffers().hold('server') }))?.bytes().toString() ?? null
 }
 
 describe('HttpExchangeClient', () => {
