Read and watch a stream again only when nothing else keeps it paused or ended

Callers saw: possibly a second run of one stream. A stream whose caller read slowly and whose runner broke off went on elsewhere; when the caller read on, the watch over the first runner started again, and after 1.2 s it sought a further runner, though the second one sent events.

Cause: the callback for the caller's reading restarted the watch of a stream that had ended. Besides, RelayedStream.release() resumed reading also while the caller read slowly; by reading the code, a stream can not be held while its caller reads slowly at present, so nothing is known to have come of that.

Change: RelayedStream knows both reasons for a pause and its end; it is read again when neither reason is left, and watched again only if it has not ended.

--- a/src/gateway/relayed-stream.ts
+++ b/src/gateway/relayed-stream.ts
@@ -10,11 +10,13 @@
   Moved = 'moved'
 }
 
-/** The stream of one runner while it is relayed. It can be held while another runner may take it over. */
+/** The stream of one runner while it is relayed. It is read unless it is held, while another runner may take it over, or its caller reads too slowly. */
 export class RelayedStream {
   readonly #message: IncomingMessage
   readonly #onEnd: (end: RelayEnd) => void
   #held = false
+  #callerIsSlow = false
+  #ended = false
   /** How the connection ended while the stream was held. */
   #endWhileHeld: RelayEnd | null = null
 
@@ -26,7 +28,7 @@
   /** Records how the connection ended; only the first end counts. */
   settle (end: RelayEnd): void {
     if (this.#held) this.#endWhileHeld ??= end
-    else this.#onEnd(end)
+    else this.#end(end)
   }
 
   /** Closes the connection. */
@@ -44,7 +46,29 @@
 
   release (): void {
     this.#held = false
-    if (this.#endWhileHeld === null) this.#message.resume()
-    else this.#onEnd(this.#endWhileHeld)
+    if (this.#endWhileHeld === null) this.#resume()
+    else this.#end(this.#endWhileHeld)
+  }
+
+  /** Stops reading until resumeForCaller(), also if the stream is released meanwhile. */
+  pauseForCaller (): void {
+    this.#callerIsSlow = true
+    this.#message.pause()
+  }
+
+  /** Returns false if the stream has ended meanwhile. */
+  resumeForCaller (): boolean {
+    this.#callerIsSlow = false
+    this.#resume()
+    return !this.#ended
+  }
+
+  #resume (): void {
+    if (!this.#held && !this.#callerIsSlow) this.#message.resume()
+  }
+
+  #end (end: RelayEnd): void {
+    this.#ended = true
+    this.#onEnd(end)
   }
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -437,10 +437,9 @@
         if (bytes.length === 0 || pending.ended || responder.write(bytes)) return
         // The stream pauses because the caller reads slowly, not because the runner is silent.
         silence?.stop()
-        message.pause()
+        relayed.pauseForCaller()
         responder.onDrain(() => {
-          silence?.restart()
-          message.resume()
+          if (relayed.resumeForCaller()) silence?.restart()
         })
       })
       message.on('end', () => {
--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -231,6 +231,19 @@
       expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
     })
 
+    // Guards against a second run of a stream: the watch over the first runner started again when the caller read on.
+    test('seeks no other runner for a stream that has gone on elsewhere while its caller read slowly', async () => {
+      const run = startForwarding({
+        route: { resumable: true, attempts: 3, timeoutMs: 1800 },
+        alternative: { prefill: null, decode: 'd1' },
+        respond: (options) => isPrefill(options) ? { parts: ['h1'] } : options.backend.id === 'd1' ? broken : { parts: ['id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'], pauseMs: 1000, end: 'open' }
+      })
+      run.responder.pauseAfterNextWriteMs = 50
+      await new Promise<void>((resolve) => run.pending.whenEnded(resolve))
+      expect(run.backendClient.sent.filter((sent) => !isPrefill(sent)).map(({ backend: { id } }) => id)).toEqual(['d1', 'd2'])
+      expect(run.log.lines.filter((line) => line.startsWith('stream.silent'))).toEqual([])
+    })
+
     // Guards against streams that are cut before the next runner has accepted them.
     test.each<[string, ScriptedReaction]>([
       ['rejects the request', notRun],
