Count the unsent events of a stream whose caller reads slowly

Callers saw: nothing yet. What a slow caller of a stream had not read, at most an event and a chunk (320 KB), was in no budget, so many of them could exceed the memory together.

Cause: only bodies and partial events were counted.

Change: what is written to a caller that reads slowly counts in the BufferBudget until the caller can receive more; the stream is not read meanwhile, on either kind of route. Not counted: what Node.js has read ahead from the paused connection (a chunk or two).

--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -438,7 +438,9 @@
         // The stream pauses because the caller reads slowly, not because the runner is silent.
         silence?.stop()
         relayed.pauseForCaller()
+        responder.buffers.add(bytes.length)
         responder.onDrain(() => {
+          responder.buffers.add(-bytes.length)
           if (relayed.resumeForCaller()) silence?.restart()
         })
       })
--- a/test/platform/accepted-requests.test.ts
+++ b/test/platform/accepted-requests.test.ts
@@ -134,6 +134,22 @@
 })
 
 describe('a slow caller', () => {
+  // Guards against an instance that runs out of memory because the unsent events of many streams are not counted.
+  test('has the events of a stream that it has not read counted until it reads them', async () => {
+    const body = 'id: 1\ndata: a\n\n'.repeat(500_000)
+    const { instance } = await start((socket, head) => { socket.write(answerTo(head, body)) })
+    instance.gateway.applyConfiguration(gatewayConfiguration(2, 20_000), 'store')
+    const caller = instance.call()
+    caller.socket.pause()
+    caller.socket.write(requestBytes('q1', '/stream/x', { method: 'POST', headers: streamHeaders }))
+    await delay(1000)
+    expect(instance.buffers.heldBytes).toBeGreaterThan(10_000)
+    caller.socket.resume()
+    while (caller.text().length < body.length) await delay(5)
+    await delay(50)
+    expect(instance.buffers.heldBytes).toBe(0)
+  })
+
   // Guards against answers that are cut because their caller reads or uploads slowly.
   test.each(['/once/x', '/stream/x'])('gets the whole answer after it has read nothing for a while: %s', async (path) => {
     const body = Array.from({ length: 70 }, (_, index) => `id: ${index}\ndata: ${'a'.repeat(100_000)}\n\n`).join('').concat('id: 70\ndata: end\n\n')
