--- a/test/gateway/stream-forwarding.test.ts
+++ b/test/gateway/stream-forwarding.test.ts
@@ -251,6 +251,19 @@
       expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
     })
 
+    // Guards against a second run of a stream: the watch over the first runner started again when the caller read on.
+    test('seeks no other runner for a stream that has gone on elsewhere while its caller read slowly', async () => {
+      const run = startForwarding({
+        route: { resumable: true, attempts: 3, timeoutMs: 1800 },
+        alternative: { prefill: null, decode: 'd1' },
+        respond: (options) => isPrefill(options) ? { parts: ['h1'] } : options.backend.id === 'd1' ? broken : { parts: ['id: 2\ndata: b\n\n', 'id: 3\ndata: c\n\n'], pauseMs: 1000, end: 'open' }
+      })
+      run.responder.pauseAfterNextWriteMs = 50
+      await new Promise<void>((resolve) => run.pending.whenEnded(resolve))
+      expect(run.backendClient.sent.filter((sent) => !isPrefill(sent)).map(({ backend: { id } }) => id)).toEqual(['d1', 'd2'])
+      expect(run.log.lines.filter((line) => line.startsWith('stream.silent'))).toEqual([])
+    })
+
     // Guards against streams that are cut before the next runner has accepted them.
     test.each<[string, ScriptedReaction]>([
       ['rejects the request', notRun],
@@ -301,6 +314,20 @@
       expect(run.responder.text).toBe('id: 1\ndata: a\n\n')
     })
 
+    // Guards against answers that end in the middle, because the next runner rejects the request after the first one was cut.
+    test('goes back to the first runner when the other one rejects the request late', async () => {
+      let runs = 0
+      const run = startForwarding({
+        route: resumable,
+        placements: [{ prefill: null, decode: 'd1' }],
+        alternative: { prefill: null, decode: 'd2' },
+        respond: ({ backend: { id } }) => id === 'd2' ? { ...notRun, silentMs: 300 } : runs++ === 0 ? { parts: ['id: 1\ndata: a\n\n'], end: 'open' } : { parts: ['id: 2\ndata: b\n\n'] }
+      })
+      await new Promise<void>((resolve) => run.pending.whenEnded(resolve))
+      expect(run.responder).toMatchObject({ text: pausing.parts.join(''), ending: 'ended' })
+      expect(run.backendClient.sent.map(({ backend: { id }, lastEventId }) => [id, lastEventId])).toEqual([['d1', null], ['d2', '1'], ['d1', '1']])
+    })
+
     // Guards against a stream that is cut for a runner that will not take its resumption.
     test('keeps the stream when the other place is on a runner that has turned this instance away', async () => {
       const run = startForwarding({ route: resumable, alternative: { prefill: null, decode: 'd2' }, respond })
