Refuse the requests that are still uploaded when the process exits

Callers saw: their connection closed without an answer at the end of the grace period, though nothing of their request had run and another instance could have served it.

Cause: the end of the process ended the requests that the gateway knew, but not those whose body had not arrived completely.

Change: they are refused together with the requests that still run.

--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -49,6 +49,8 @@
 type CallerListener = Server & {
   /** Number of requests whose responses have not been handed to the operating system completely. */
   readonly unsentResponses: number
+  /** Refuses the requests that are still uploaded. */
+  refuseUploads: () => void
 }
 
 interface RunOptions {
@@ -180,6 +182,7 @@
   }
   const unfinished = gateway.inFlight
   gateway.endPendingRequests()
+  options.callers.refuseUploads()
   while (isBusy() && performance.now() < graceEndMs - KILL_MARGIN_MS) await delay(FLUSH_DELAY_MS)
   await delay(FLUSH_DELAY_MS)
   storeWatcher.stop()
--- a/test/programs/planned-stop.test.ts
+++ b/test/programs/planned-stop.test.ts
@@ -184,4 +184,16 @@
     expect([(await running).status, (await late).status]).toEqual([502, 502])
     expect(performance.now() - stoppedMs).toBeLessThan(SHORT_GRACE_S * 1000)
   }, 20_000)
+
+  // Guards against uploads that are cut at the exit, though nothing of them has run and another instance could serve them.
+  test('refuses a request that is still uploaded when it exits', async () => {
+    await start(SHORT_GRACE_S)
+    const call = open('/orders/quick', { 'Content-Length': '10' })
+    const ended = end(call)
+    call.write('12345')
+    await delay(100)
+    stop()
+    expect((await ended).status).toBe(503)
+    expect(performance.now() - stoppedMs).toBeLessThan(SHORT_GRACE_S * 1000)
+  }, 20_000)
 })
