Read what has arrived before a stop closes connections

Callers saw: their connections reset without an answer when a process that is stopping had been frozen past the time at which it refuses new requests.

Cause: after the freeze the timer of the shutdown runs first. It closed the listening socket, with the connections that had not been accepted yet, before anything was read.

Evidence: test/programs/planned-stop "answers what has arrived while it was frozen past the time at which it refuses new requests" fails on the commit before: 5 of 6 requests (those on new connections) got no status. A trial with a fixed number of four turns left one of six, as a turn may accept only one connection.

Change: before new requests are refused, and before the exit, turns of the event loop pass until three in a row bring no connection and no request, at most 2,000. The test passes.

--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -40,6 +40,12 @@
 /** Time before the process exits in which the ends of responses are sent, in milliseconds; also the time between checks for requests in flight. */
 const FLUSH_DELAY_MS = 50
 
+/** Turns of the event loop without arrivals after which all that has arrived is read: a connection is accepted in one turn and its request read in a later one. */
+const QUIET_TURNS = 3
+
+/** Largest number of turns of the event loop in which arrivals are read; each turn may accept only one connection. */
+const MAX_ARRIVAL_TURNS = 2000
+
 /** Largest share of the time until the exit for which new requests are still accepted after SIGTERM; the rest is for finishing them. */
 const MAX_ACCEPT_SHARE = 0.5
 
@@ -172,6 +178,7 @@
   // The requests still to be served need the current servers, so the watch goes on.
   storeWatcher.stopAnnouncing()
   await delay(Math.min(ACCEPT_AFTER_STOP_MS, MAX_ACCEPT_SHARE * (exitMs - startedMs)))
+  await readArrivals(options.callers)
   gateway.refuseNewRequests()
   options.callers.close()
   const isBusy = (): boolean => gateway.inFlight + options.callers.unsentResponses > 0
@@ -185,12 +192,26 @@
   options.callers.refuseUploads()
   while (isBusy() && performance.now() < graceEndMs - KILL_MARGIN_MS) await delay(FLUSH_DELAY_MS)
   await delay(FLUSH_DELAY_MS)
+  await readArrivals(options.callers)
   storeWatcher.stop()
   log.info('instance.stopped', { inFlight: unfinished })
   options.flushLog()
   process.exit(0)
 }
 
+/** Lets connections be accepted and their requests be read that arrived while the process was frozen: timers run before that, and a close would reset them. */
+async function readArrivals (callers: Server): Promise<void> {
+  let arrivals = 0
+  const count = (): void => { arrivals += 1 }
+  callers.on('connection', count).on('request', count)
+  for (let turn = 0, quietTurns = 0; turn < MAX_ARRIVAL_TURNS && quietTurns < QUIET_TURNS; turn += 1) {
+    const before = arrivals
+    await new Promise((resolve) => setImmediate(resolve))
+    quietTurns = arrivals === before ? quietTurns + 1 : 0
+  }
+  callers.off('connection', count).off('request', count)
+}
+
 function delay (ms: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, ms))
 }
--- a/test/programs/planned-stop.test.ts
+++ b/test/programs/planned-stop.test.ts
@@ -196,4 +196,19 @@
     expect((await ended).status).toBe(503)
     expect(performance.now() - stoppedMs).toBeLessThan(SHORT_GRACE_S * 1000)
   }, 20_000)
+
+  // Guards against requests that had arrived while the process was frozen, and are cut as its timers run before it reads them.
+  test('answers what has arrived while it was frozen past the time at which it refuses new requests', async () => {
+    await start(GRACE_S)
+    stop()
+    await untilAfterStop(1000)
+    instance.process.kill('SIGSTOP')
+    await untilAfterStop(2000)
+    const kept = end(send('/orders/quick'))
+    const others = Array.from({ length: 5 }, () => end(send('/checks/quick')))
+    await untilAfterStop(3500)
+    instance.process.kill('SIGCONT')
+    const statuses = (await Promise.all([kept, ...others])).map(({ status }) => status)
+    expect(statuses.filter((status) => status !== 200 && status !== 503)).toEqual([])
+  }, 20_000)
 })
