--- a/test/programs/planned-stop.test.ts
+++ b/test/programs/planned-stop.test.ts
@@ -184,4 +184,31 @@
     expect([(await running).status, (await late).status]).toEqual([502, 502])
     expect(performance.now() - stoppedMs).toBeLessThan(SHORT_GRACE_S * 1000)
   }, 20_000)
+
+  // Guards against uploads that are cut at the exit, though nothing of them has run and another instance could serve them.
+  test('refuses a request that is still uploaded when it exits', async () => {
+    await start(SHORT_GRACE_S)
+    const call = open('/orders/quick', { 'Content-Length': '10' })
+    const ended = end(call)
+    call.write('12345')
+    await delay(100)
+    stop()
+    expect((await ended).status).toBe(503)
+    expect(performance.now() - stoppedMs).toBeLessThan(SHORT_GRACE_S * 1000)
+  }, 20_000)
+
+  // Guards against requests that had arrived while the process was frozen, and are cut as its timers run before it reads them.
+  test('answers what has arrived while it was frozen past the time at which it refuses new requests', async () => {
+    await start(GRACE_S)
+    stop()
+    await untilAfterStop(1000)
+    instance.process.kill('SIGSTOP')
+    await untilAfterStop(2000)
+    const kept = end(send('/orders/quick'))
+    const others = Array.from({ length: 5 }, () => end(send('/checks/quick')))
+    await untilAfterStop(3500)
+    instance.process.kill('SIGCONT')
+    const statuses = (await Promise.all([kept, ...others])).map(({ status }) => status)
+    expect(statuses.filter((status) => status !== 200 && status !== 503)).toEqual([])
+  }, 20_000)
 })
