--- a/src/soak/process-watch.ts
+++ b/src/soak/process-watch.ts
@@ -1,11 +1,11 @@
 import { readFileSync } from 'node:fs'
 import type { SoakFleet } from './soak-fleet.js'
 
-/** Time between two looks at the processes, in milliseconds; the kernel keeps the peak meanwhile. */
+/** Time between two samples of the processes, in milliseconds; the kernel keeps the peak meanwhile. */
 const WATCH_PERIOD_MS = 100
 
 interface ProcessWatchOptions {
-  fleet: Pick<SoakFleet, 'instances' | 'ownEnds'>
+  fleet: Pick<SoakFleet, 'instances' | 'unexpectedExits'>
   /** Memory that each process may use, in MB. */
   memoryMb: number
 }
@@ -22,21 +22,21 @@
   }
 
   start (): void {
-    this.#timer = setInterval(() => this.#look(), WATCH_PERIOD_MS)
+    this.#timer = setInterval(() => this.#sample(), WATCH_PERIOD_MS)
   }
 
   stop (): void {
     clearInterval(this.#timer)
-    this.#look()
+    this.#sample()
   }
 
   violations (): string[] {
     const { memoryMb } = this.#options
     const exceeded = [...this.#exceeded.values()].map(({ ip, peakMb, since }) => `${ip}: its process used ${Math.round(peakMb)} MB of ${memoryMb} MB, more than allowed since ${since}`)
-    return [...exceeded, ...this.#options.fleet.ownEnds.violations]
+    return [...exceeded, ...this.#options.fleet.unexpectedExits.violations]
   }
 
-  #look (): void {
+  #sample (): void {
     const { fleet, memoryMb } = this.#options
     for (const { ip, process: { pid } } of fleet.instances) {
       const peakMb = pid === undefined ? 0 : peakResidentMb(pid)
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -7,7 +7,7 @@
 import { PlatformRunnerStandIn, RunnerStage } from '../standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../standin/platform-store-standin.js'
 import { FaultyLink } from './faulty-link.js'
-import { OwnEnds } from './own-ends.js'
+import { UnexpectedExits } from './unexpected-exits.js'
 import type { SoakLedger } from './soak-ledger.js'
 
 /** Limit of the heap in the deploy file, in MB. */
@@ -55,7 +55,7 @@
   readonly instances: SoakInstance[] = []
   readonly #options: SoakFleetOptions
   readonly #added: string[] = []
-  readonly ownEnds = new OwnEnds()
+  readonly unexpectedExits = new UnexpectedExits()
   #limits: FleetLimits
   #version = 1
 
@@ -131,7 +131,7 @@
 
   /** Ends a process of an instance; what it then does is not its own end. */
   end (instance: SoakInstance, child: ChildProcess, signal: 'SIGKILL' | 'SIGTERM'): void {
-    this.ownEnds.expectEnd(child)
+    this.unexpectedExits.expectExit(child)
     const nowMs = performance.now()
     if (signal === 'SIGKILL' && child.exitCode === null && child.signalCode === null) instance.cuts.push({ fromMs: nowMs, toMs: nowMs })
     child.kill(signal)
@@ -187,7 +187,7 @@
 
   #watch (instance: SoakInstance): void {
     const { ip, process: child } = instance
-    this.ownEnds.watch(child, ip)
+    this.unexpectedExits.watch(child, ip)
     instance.started = false
     child.stdout?.once('data', () => { instance.started = instance.process === child })
     child.once('exit', () => { if (instance.process === child) instance.started = false })
--- a/src/soak/own-ends.ts
+++ b/src/soak/unexpected-exits.ts
@@ -1,12 +1,12 @@
 import type { ChildProcess } from 'node:child_process'
 
-/** Notes which processes end by themselves. */
-export class OwnEnds {
+/** Records processes that exit although no fault or stop has ended them. */
+export class UnexpectedExits {
   readonly #requested = new WeakSet<ChildProcess>()
   readonly violations: string[] = []
 
-  /** What the process does from now on is not its own end. */
-  expectEnd (child: ChildProcess): void {
+  /** Call it before the process is stopped or killed. */
+  expectExit (child: ChildProcess): void {
     this.#requested.add(child)
   }
 
--- a/test/soak/process-watch.test.ts
+++ b/test/soak/process-watch.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { type ChildProcess, spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { OwnEnds } from '../../src/soak/own-ends.js'
+import { UnexpectedExits } from '../../src/soak/unexpected-exits.js'
 import { ProcessWatch } from '../../src/soak/process-watch.js'
 
 let stop: () => void
@@ -14,7 +14,7 @@
     const child: ChildProcess = spawn(process.execPath, ['--expose-gc', '-e', 'let a = Buffer.alloc(200e6, 1); a = null; gc(); console.log(1); setInterval(() => {}, 1000)'], { stdio: ['ignore', 'pipe', 'inherit'] })
     stop = () => { child.kill('SIGKILL') }
     await once(child.stdout as NodeJS.EventEmitter, 'data')
-    const watch = new ProcessWatch({ fleet: { instances: [{ ip: '10.0.0.1', process: child }] as never, ownEnds: new OwnEnds() }, memoryMb })
+    const watch = new ProcessWatch({ fleet: { instances: [{ ip: '10.0.0.1', process: child }] as never, unexpectedExits: new UnexpectedExits() }, memoryMb })
     watch.stop()
     expect(watch.violations()).toEqual(Array(reports).fill(expect.stringMatching(/^10\.0\.0\.1: its process used [23]\d\d MB of 100 MB, more than allowed since 2/)))
   })
@@ -23,13 +23,13 @@
   test('reports a process that nobody has ended', async () => {
     const [crashed, ended] = [spawn(process.execPath, ['-e', 'process.exit(1)']), spawn(process.execPath, ['-e', 'setInterval(() => {}, 1000)'])]
     stop = () => { ended.kill('SIGKILL') }
-    const ownEnds = new OwnEnds()
-    ownEnds.watch(crashed, '10.0.0.1')
-    ownEnds.watch(ended, '10.0.0.2')
-    ownEnds.expectEnd(ended)
+    const unexpectedExits = new UnexpectedExits()
+    unexpectedExits.watch(crashed, '10.0.0.1')
+    unexpectedExits.watch(ended, '10.0.0.2')
+    unexpectedExits.expectExit(ended)
     ended.kill('SIGKILL')
     await Promise.all([once(crashed, 'exit'), once(ended, 'exit')])
-    const watch = new ProcessWatch({ fleet: { instances: [], ownEnds }, memoryMb: 1 })
+    const watch = new ProcessWatch({ fleet: { instances: [], unexpectedExits }, memoryMb: 1 })
     expect(watch.violations()).toEqual(['10.0.0.1: its process ended by itself (code 1, signal null)'])
   })
 })
