--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -52,6 +52,18 @@
     expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBeNull()
   })
 
+  // Guards against answers that look complete because a reset arrives together with their last bytes. KNOWN-RED.txt has the cause.
+  test.failing('treats a response without a length as incomplete when its connection is reset right behind the last bytes', async () => {
+    const address = await serve((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhead')
+      setTimeout(() => {
+        socket.write('hal')
+        socket.resetAndDestroy()
+      }, 30)
+    })
+    expect(await bodyOf(await get(new HttpExchangeClient(), address))).toBeNull()
+  })
+
   // Guards against requests to servers that leave while the connection is established.
   test('asks once the connection is established whether the request may still be written, on new and on kept connections', async () => {
     let received = 0
