--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -6,9 +6,9 @@
 const TROUBLE = process.env.TROUBLE !== '0'
 const GATEWAYS = 3
 const RUNNERS = 3
-/** Orders a second and time of the traffic: those of the site in a burst. */
-const ORDERS_PER_S = 80
-const TRAFFIC_S = 25
+/** Orders a second, the site's calm rate of `dealer-order`, and time of the traffic. */
+const ORDERS_PER_S = 31
+const TRAFFIC_S = 40
 const WORK_MS = 43
 /** Share of the answers of the faulty runner, one of three, that break off. */
 const BROKEN_SHARE = 0.02
--- a/review/lib/fleet.mjs
+++ b/review/lib/fleet.mjs
@@ -25,6 +25,9 @@
   process.exit(Exit.NotRun)
 })
 
+// The processes of a fleet end with the case, also if it is stopped.
+for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) process.on(signal, () => process.exit(Exit.NotRun))
+
 /** Lines of what was sent, answered and run, with the time since the start in milliseconds. */
 export class Record {
   #file
@@ -83,6 +86,7 @@
 
   constructor ({ record }) {
     this.#record = record
+    process.once('exit', () => this.stop())
   }
 
   ip (last) {
