Log which answers end with their connection, and which connections were reset

The log could not tell such an answer from a sound one: request.ended says ending=answered for both, and an answer that was given up said only "incomplete or too large".

request.ended now has endsWithConnection=true for an answer without length or chunks, send.failed and stream.broken say whether the connection was reset. HEAD, 204 and 304 have no body, so they no longer count as such answers; a transfer coding other than chunked does.

--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -21,6 +21,9 @@
 /** Largest number of interim responses (1xx) before the response; servers send a few at most. Each one costs as much as a head, so one that does not stop would keep the process busy until the head timeout. */
 const MAX_INTERIM_RESPONSES = 16
 
+/** Statuses of responses that never have a body. */
+export const BODILESS_STATUSES = new Set([204, 304])
+
 export interface ExchangeRequest {
   /** IP address and port. */
   address: string
@@ -46,13 +49,12 @@
   /** Alternating names and values, as received. */
   rawHeaders: string[]
   message: IncomingMessage
-  /**
-   * Whether the response has a Content-Length or a Transfer-Encoding. Without them, the body ends when the connection closes,
-   * and a response whose server crashed halfway looks complete.
-   */
-  framed: boolean
+  /** Whether the body has neither a length nor chunks, so that it ends when the connection is closed. */
+  endsWithConnection: boolean
   /** Whether another request was sent on the connection before, whose response a faulty server may have written again. */
   reusedConnection: boolean
+  /** Whether the connection was reset before the response was complete. */
+  wasReset: () => boolean
   /** Whether the response has been received completely; valid once the message has ended. */
   isComplete: () => boolean
 }
@@ -211,8 +213,9 @@
       headers: message.headers,
       rawHeaders: message.rawHeaders,
       message,
-      framed: message.headers['content-length'] !== undefined || message.headers['transfer-encoding'] !== undefined,
+      endsWithConnection: endsWithConnection(request.method, message),
       reusedConnection: request.reusedSocket,
+      wasReset: () => reset,
       isComplete: () => message.complete && !reset
     }))
     request.on('error', (error) => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: error.message, reusedConnection: request.reusedSocket }))
@@ -220,6 +223,13 @@
   })
 }
 
+/** Whether the connection's end is the only mark of the end of a response's body. */
+function endsWithConnection (method: string, { statusCode = 0, headers }: IncomingMessage): boolean {
+  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return false
+  const lastCoding = headers['transfer-encoding']?.split(',').at(-1)?.trim().toLowerCase()
+  return headers['content-length'] === undefined && lastCoding !== 'chunked'
+}
+
 /** Ends a request as broken when its server sends too many interim responses. */
 export function limitInterimResponses (request: ClientRequest): void {
   let count = 0
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -1,6 +1,6 @@
 import type { CallerRequest, Responder } from './caller-request.js'
 import type { Route } from './configuration.js'
-import type { Exchange } from './http-exchange.js'
+import type { Exchange, ResponseHead } from './http-exchange.js'
 import type { LogFields } from '../logs/log.js'
 import { GatewayRefusal } from './refusal.js'
 import { longestWaitMs } from './route-table.js'
@@ -100,8 +100,11 @@
     return exchange
   }
 
-  markHeadSent (): void {
+  /** Sends the head of the response that the caller gets. */
+  sendHead (head: ResponseHead): void {
     this.#headSent = true
+    if (head.endsWithConnection) this.addLogFields({ endsWithConnection: true })
+    this.responder.writeHead(head)
   }
 
   /** Ends the request with a refusal; aborts the response instead if its head has been sent. */
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -208,7 +208,7 @@
     if (body !== null) return { head: result.head, body }
     if (pending.ended) chargeAtTimeout(this.#context, pending, backend)
     else this.#context.health.recordFailure(backend, ExchangeOutcome.Broken)
-    return { outcome: ExchangeOutcome.Broken, detail: 'response body incomplete or too large' }
+    return { outcome: ExchangeOutcome.Broken, detail: result.head.wasReset() ? 'connection reset within the response' : 'response body incomplete or too large' }
   }
 
   /** Seeks another server when no response has begun for some time. */
@@ -251,8 +251,7 @@
 }
 
 function sendResponse (pending: PendingRequest, { head, body }: CompleteResponse): void {
-  pending.markHeadSent()
-  pending.responder.writeHead(head)
+  pending.sendHead(head)
   for (const part of body.parts()) pending.responder.write(part)
   pending.complete()
 }
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -258,10 +258,7 @@
       return ExchangeOutcome.Failed
     }
     if (head.status >= FIRST_UNSUCCESSFUL_STATUS) return await this.#passOnFailure(head)
-    if (!pending.headSent) {
-      pending.markHeadSent()
-      pending.responder.writeHead(head)
-    }
+    if (!pending.headSent) pending.sendHead(head)
     const end = await this.#copyEvents(decodeServer, head, eventsBefore)
     if (pending.ended) {
       chargeAtTimeout(this.#context, pending, decodeServer)
@@ -279,6 +276,7 @@
       route: pending.route.name,
       server: decodeServer.id,
       end,
+      reset: head.wasReset(),
       silentMs: this.#silentMs(),
       lastEvent: this.#eventSplitter.lastEventId ?? '',
       events,
@@ -330,8 +328,7 @@
     const body = await readBody(head, { limitBytes: MAX_BUFFERED_BODY_BYTES, buffers: pending.responder.buffers })
     if (pending.ended) return null
     if (body === null) return ExchangeOutcome.Broken
-    pending.markHeadSent()
-    pending.responder.writeHead(head)
+    pending.sendHead(head)
     for (const part of body.parts()) pending.responder.write(part)
     pending.complete()
     return null
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -185,6 +185,6 @@
       if (response.pauseMs === undefined) finish()
       else setTimeout(finish, response.pauseMs)
     })
-    return { status: response.status ?? 200, statusText: '', headers: {}, rawHeaders: [], message, framed: true, reusedConnection: false, isComplete: () => end === 'whole' }
+    return { status: response.status ?? 200, statusText: '', headers: {}, rawHeaders: [], message, endsWithConnection: false, reusedConnection: false, wasReset: () => false, isComplete: () => end === 'whole' }
   }
 }
--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -38,7 +38,7 @@
 }
 
 function headWith (framed: boolean, rawHeaders: string[]): ResponseHead {
-  return { status: 200, statusText: 'OK', headers: {}, rawHeaders, message: null as never, framed, reusedConnection: false, isComplete: () => true }
+  return { status: 200, statusText: 'OK', headers: {}, rawHeaders, message: null as never, endsWithConnection: !framed, reusedConnection: false, wasReset: () => false, isComplete: () => true }
 }
 
 const requestHead = 'GET /a/b?c=d HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: r1\r\n'
--- a/test/platform/http-backend-client.test.ts
+++ b/test/platform/http-backend-client.test.ts
@@ -37,7 +37,7 @@
 }
 
 function headOf (status: number, headers: Record<string, string>): ResponseHead {
-  return { status, statusText: '', headers, rawHeaders: [], message: null as never, framed: true, reusedConnection: false, isComplete: () => true }
+  return { status, statusText: '', headers, rawHeaders: [], message: null as never, endsWithConnection: false, reusedConnection: false, wasReset: () => false, isComplete: () => true }
 }
 
 describe('HttpBackendClient', () => {
