Reject answers of the store, runners and peers whose connection is reset

A listing cut between two JSON values can't be parsed, but a status that is believed without its body (an order, a deleted handle) can.

The new test failed before for a reset at once and passed for one after 50 ms; both pass now, and an answer that is closed in order is still taken.

Change: watchReset, and an error that says how many bytes had arrived.

--- a/src/gateway/control-request.ts
+++ b/src/gateway/control-request.ts
@@ -1,4 +1,5 @@
 import { type Agent, type IncomingHttpHeaders, request as httpRequest } from 'node:http'
+import { watchReset } from '../http/connection-reset.js'
 import { OversizeError } from './bounded-decoding.js'
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
@@ -122,6 +123,7 @@
       request.destroy()
     }
     limitInterimResponses(request)
+    const reset = watchReset(request)
     request.on('error', fail)
     request.on('response', (response) => {
       const body = new ByteCollector({ onGrowth: (bytes) => buffers.add(bytes) })
@@ -138,6 +140,7 @@
       })
       response.on('error', fail)
       response.on('end', () => {
+        if (reset.occurred) return fail(new Error(`connection reset within the response: ${receivedBytes} bytes received`))
         timeouts.clear()
         const transfer = { bytes: receivedBytes, headMs: headMs ?? 0, totalMs: performance.now() - startedMs }
         // The blocks of the collector are freed only some time after they have been put together.
--- a/test/gateway/control-request.test.ts
+++ b/test/gateway/control-request.test.ts
@@ -1,7 +1,7 @@
 import { afterEach, describe, expect, test } from '@jest/globals'
 import { once } from 'node:events'
 import { Agent, createServer, type RequestListener, type Server } from 'node:http'
-import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer } from 'node:net'
+import { type AddressInfo, createServer as createTcpServer, type Server as TcpServer, type Socket } from 'node:net'
 import { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { type ControlRequest, type ControlResponse, sendControlRequest } from '../../src/gateway/control-request.js'
 import { recordingLog, unboundedBuffers } from './gateway-fixtures.js'
@@ -27,6 +27,17 @@
   return `127.0.0.1:${(server.address() as AddressInfo).port}`
 }
 
+/** Serves connections on which the handler answers with raw bytes. */
+async function serveBytes (handle: (socket: Socket) => void): Promise<string> {
+  rawServer = createTcpServer((socket) => {
+    socket.on('error', () => {})
+    socket.once('data', () => handle(socket))
+  })
+  rawServer.listen(0, '127.0.0.1')
+  await once(rawServer, 'listening')
+  return `127.0.0.1:${(rawServer.address() as AddressInfo).port}`
+}
+
 describe('sendControlRequest', () => {
   test('sends JSON and returns any status with the complete body', async () => {
     const received: string[] = []
@@ -138,6 +149,21 @@
     await expect(send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow()
   })
 
+  // Guards against half of a listing or report that is taken for a whole one because its connection was reset.
+  test.each([0, 50])('rejects a response without a length whose connection is reset %d ms behind it', async (pauseMs) => {
+    const address = await serveBytes((socket) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\n{"items":[]}')
+      if (pauseMs === 0) socket.resetAndDestroy()
+      else setTimeout(() => socket.resetAndDestroy(), pauseMs)
+    })
+    await expect(send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).rejects.toThrow(/reset|ECONNRESET|aborted/)
+  })
+
+  test('takes a response without a length whose connection is closed behind it', async () => {
+    const address = await serveBytes((socket) => socket.end('HTTP/1.1 200 OK\r\n\r\n{"items":[]}'))
+    expect((await send({ address, method: 'GET', target: '/', timeoutMs: 1000 })).bytes.toString()).toBe('{"items":[]}')
+  })
+
   test('reuses the connections of an agent', async () => {
     const ports = new Set<number | undefined>()
     const address = await serve((request, response) => {
