--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -80,6 +80,20 @@
     expect(errors).toEqual(['ECONNRESET'])
   })
 
+  // Guards against an aborted response that looks complete to a caller of HTTP/1.0, which gets no chunks.
+  test('resets the connection when a response in chunks is aborted for a caller of HTTP/1.0', async () => {
+    const errors: string[] = []
+    await sendRaw(`${requestHead.replace('HTTP/1.1', 'HTTP/1.0')}\r\n`, {
+      onError: (error) => errors.push(error.code ?? ''),
+      serve: (_request, responder) => {
+        responder.writeHead(headWith(true, ['Transfer-Encoding', 'chunked']))
+        responder.write(Buffer.from('part'))
+        setTimeout(() => responder.abort(), 20)
+      }
+    })
+    expect(errors).toEqual(['ECONNRESET'])
+  })
+
   test('closes the connection after each response while the instance is shutting down', async () => {
     const text = await sendRaw(`${requestHead}\r\n`, {
       stopping: true,
