--- a/test/adapters/service-client.test.ts
+++ b/test/adapters/service-client.test.ts
@@ -38,6 +38,21 @@
   expect((await send(await serve(act))).val).toMatchObject({ sent: true })
 })
 
+// Guards against half an answer that is stored under its key and replayed as the whole one, because its connection was reset.
+test.each([0, 50])('a call whose answer without a length is reset %d ms behind its last bytes counts as sent and not answered', async (pauseMs) => {
+  const address = await serve((socket) => {
+    socket.write('HTTP/1.1 200 OK\r\n\r\n{"half":')
+    if (pauseMs === 0) socket.resetAndDestroy()
+    else setTimeout(() => socket.resetAndDestroy(), pauseMs)
+  })
+  expect((await send(address)).val).toMatchObject({ sent: true })
+})
+
+test('an answer without a length whose connection is closed is whole', async () => {
+  const result = await send(await serve((socket) => { socket.end('HTTP/1.1 201 Created\r\ncontent-type: text/plain\r\n\r\nwhole') }))
+  expect(result.val).toMatchObject({ status: 201, contentType: 'text/plain', body: Buffer.from('whole') })
+})
+
 test('a server that sends its response one byte at a time is cut off at the time limit, and the call counts as sent', async () => {
   const address = await serve((socket) => {
     socket.write('HTTP/1.1 200 OK\r\ncontent-length: 900\r\n\r\n')
