--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -348,7 +348,7 @@
     this.#pendingRequests.add(pending)
     pending.onEnd = (ending) => {
       this.#pendingRequests.delete(pending)
-      if (ending === 'answered') this.#lateAcceptance.recordDuration(route, pending.ageMs())
+      if (ending === 'answered') this.#lateAcceptance.recordDuration({ request, route, durationMs: pending.ageMs(), firstPartMs: pending.firstPartMs })
       this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
       this.#options.log.info('request.ended', { ...pending.endFields(ending), configuration: this.#routes?.version ?? -1, storeRevision: this.storePosition.revision })
     }
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -32,6 +32,7 @@
   #ended = false
   #timedOut = false
   #headSent = false
+  #firstPartMs: number | null = null
 
   constructor (options: PendingRequestOptions) {
     this.request = options.request
@@ -68,6 +69,17 @@
     return this.#ended
   }
 
+  /** Time from the arrival of the request to the first part of its stream, in milliseconds; null before it and without a stream. */
+  get firstPartMs (): number | null {
+    return this.#firstPartMs
+  }
+
+  recordPart (): void {
+    if (this.#firstPartMs !== null) return
+    this.#firstPartMs = this.ageMs()
+    this.addLogFields({ firstEventMs: Math.round(this.#firstPartMs) })
+  }
+
   /** Whether the time for the request ran out before it ended. */
   get timedOut (): boolean {
     return this.#timedOut
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -420,7 +420,7 @@
       const silence = route.resumable ? this.#watchSilence(decodeServer, relayed) : null
       message.on('data', (chunk: Buffer) => {
         this.#lastBytesMs = this.#context.nowMs()
-        if (pending.logFields.firstEventMs === undefined) pending.addLogFields({ firstEventMs: Math.round(pending.ageMs()) })
+        pending.recordPart()
         const eventsSoFar = this.#eventSplitter.eventCount
         const completeEvents = this.#eventSplitter.push(chunk)
         // Bytes that complete no event are no progress: a stalled runner may send one now and then.
--- a/test/gateway/usual-value.test.ts
+++ b/test/gateway/usual-value.test.ts
@@ -1,16 +1,16 @@
 import { describe, expect, test } from '@jest/globals'
-import { UsualDuration } from '../../src/gateway/usual-duration.js'
+import { UsualValue } from '../../src/gateway/usual-value.js'
 
-describe('UsualDuration', () => {
-  test('is the time within which nine of ten of the newest requests have ended, once there are enough', () => {
-    const durations = new UsualDuration()
-    for (let ms = 1; ms < 10; ms += 1) durations.record('r', ms)
-    expect(durations.of('r')).toBe(Infinity)
-    durations.record('r', 500)
-    expect(durations.of('r')).toBe(9)
-    for (let count = 0; count < 50; count += 1) durations.record('r', 30)
-    expect(durations.of('r')).toBe(30)
-    durations.retain(new Set())
-    expect(durations.of('r')).toBe(Infinity)
+describe('UsualValue', () => {
+  test('is the one that nine of ten of the newest do not exceed, once there are enough', () => {
+    const values = new UsualValue()
+    for (let ms = 1; ms < 10; ms += 1) values.record('r', ms)
+    expect(values.of('r')).toBe(Infinity)
+    values.record('r', 500)
+    expect(values.of('r')).toBe(9)
+    for (let count = 0; count < 50; count += 1) values.record('r', 30)
+    expect(values.of('r')).toBe(30)
+    values.retain(new Set())
+    expect(values.of('r')).toBe(Infinity)
   })
 })
