Keep idle connections open until the exit, and refuse what arrives on them

Cause: from 2.7 s after SIGTERM on all idle connections were closed, every 50 ms, while the process ran for up to 5 s more for its streams. A request on its way to such a connection is lost; the caller can't tell whether it ran.

Change: only the listener is closed. A request on a connection that is still open gets 503 and Connection: close, so each connection ends behind an answer; those that callers no longer use end with the process. The stop lasts no longer: the process still exits once nothing runs.

--- a/src/gateway/idle-connections.ts
+++ b/src/gateway/idle-connections.ts
@@ -43,20 +43,15 @@
     if (connection === undefined) return
     const leftMs = connection.sinceMs + connection.limitMs + CLOSE_MARGIN_MS - performance.now()
     if (leftMs >= 1) socket.setTimeout(leftMs)
-    else this.#closeUnlessUsed([socket])
+    else this.#closeUnlessUsed(socket)
   }
 
-  closeAll (): void {
-    this.#closeUnlessUsed([...this.#connections.keys()])
-  }
-
-  /** Closes connections once the bytes that have arrived are read: after a pause of the process, timers run before that. */
-  #closeUnlessUsed (sockets: Socket[]): void {
-    const seen = sockets.map((socket) => ({ socket, connection: this.#connections.get(socket), bytesRead: socket.bytesRead }))
+  /** Closes a connection once the bytes that have arrived are read: after a pause of the process, timers run before that. */
+  #closeUnlessUsed (socket: Socket): void {
+    const connection = this.#connections.get(socket)
+    const { bytesRead } = socket
     setImmediate(() => {
-      for (const { socket, connection, bytesRead } of seen) {
-        if (this.#connections.get(socket) === connection && socket.bytesRead === bytesRead) socket.destroy()
-      }
+      if (this.#connections.get(socket) === connection && socket.bytesRead === bytesRead) socket.destroy()
     })
   }
 }
--- a/src/gateway/run-gateway.ts
+++ b/src/gateway/run-gateway.ts
@@ -58,6 +58,8 @@
   readonly unsentResponses: number
   /** Refuses the requests that are still uploaded. */
   refuseUploads: () => void
+  /** Accepts no new connections, and closes none. */
+  stopListening: () => void
 }
 
 interface RunOptions {
@@ -182,13 +184,9 @@
   await delay(Math.min(ACCEPT_AFTER_STOP_MS, MAX_ACCEPT_SHARE * (exitMs - startedMs)))
   await readArrivals(options.callers)
   gateway.refuseNewRequests()
-  options.callers.close()
+  options.callers.stopListening()
   const isBusy = (): boolean => gateway.inFlight + options.callers.unsentResponses > 0
-  while (isBusy() && performance.now() < exitMs) {
-    // Connections whose last response was sent only now are idle too.
-    options.callers.closeIdleConnections()
-    await delay(FLUSH_DELAY_MS)
-  }
+  while (isBusy() && performance.now() < exitMs) await delay(FLUSH_DELAY_MS)
   const unfinished = gateway.inFlight
   gateway.endPendingRequests()
   options.callers.refuseUploads()
--- a/test/programs/planned-stop.test.ts
+++ b/test/programs/planned-stop.test.ts
@@ -160,6 +160,24 @@
     expect({ status, connection: headers.connection }).toEqual({ status: 503, connection: 'close' })
   }, 20_000)
 
+  // Guards against requests that are lost on their way to a kept connection, because the process closes it although it still runs.
+  test('refuses requests on kept connections as long as it runs', async () => {
+    await start(GRACE_S)
+    const kept = new Agent({ keepAlive: true, maxSockets: 1 })
+    const sendKept = (): Promise<CallEnd> => end(request(`http://${fleet.callers(instance)}/checks/quick`, { agent: kept, headers: { Host: 'soak.example', 'X-Request-Id': `q${Math.random()}`, 'X-Deadline-Ms': '2000' } }).end())
+    expect((await sendKept()).status).toBe(200)
+    const [connection] = Object.values(kept.freeSockets).flat()
+    const running = end(send('/checks/never'))
+    await delay(100)
+    stop()
+    await untilAfterStop(4000)
+    expect(connection?.destroyed).toBe(false)
+    const { status, headers } = await sendKept()
+    expect({ status, connection: headers.connection }).toEqual({ status: 503, connection: 'close' })
+    kept.destroy()
+    expect((await running).status).toBe(502)
+  }, 20_000)
+
   // Guards against a stop that lasts for the whole grace period because callers keep their connections open.
   test('exits soon after it refuses new requests if nothing runs, also after a second SIGTERM and a SIGHUP', async () => {
     await start(GRACE_S)
