Go by the durations of the route for requests without a stream

After SIGTERM an instance would refuse a request of a model that is answered without a stream, if its caller gave an estimate: the time for a token is known from streams only.

What may have a body is decided in one place (mayHaveBody).

--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -2,6 +2,7 @@
 import { connect, type NetConnectOpts, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { watchReset } from '../http/connection-reset.js'
+import { mayHaveBody } from '../http/response-body.js'
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
 import { ChunkSizes } from './chunk-sizes.js'
@@ -22,9 +23,6 @@
 /** Largest number of interim responses (1xx) before the response; servers send a few at most. Each one costs as much as a head, so one that does not stop would keep the process busy until the head timeout. */
 const MAX_INTERIM_RESPONSES = 16
 
-/** Statuses of responses that never have a body. */
-export const BODILESS_STATUSES = new Set([204, 304])
-
 export interface ExchangeRequest {
   /** IP address and port. */
   address: string
@@ -219,8 +217,8 @@
 }
 
 /** Whether the connection's end is the only mark of the end of a response's body. */
-function endsWithConnection (method: string, { statusCode = 0, headers }: IncomingMessage): boolean {
-  if (method === 'HEAD' || BODILESS_STATUSES.has(statusCode)) return false
+function endsWithConnection (method: string, { statusCode, headers }: IncomingMessage): boolean {
+  if (!mayHaveBody(method, statusCode)) return false
   const lastCoding = headers['transfer-encoding']?.split(',').at(-1)?.trim().toLowerCase()
   return headers['content-length'] === undefined && lastCoding !== 'chunked'
 }
--- a/src/gateway/late-acceptance.ts
+++ b/src/gateway/late-acceptance.ts
@@ -54,7 +54,9 @@
   /** Time within which nine of ten requests like this one end, in milliseconds; Infinity if too few have ended. */
   #usualDurationMs (request: CallerRequest, { name }: Route): number {
     const tokens = estimatedTokens(request)
-    return tokens === null ? this.#durations.of(name) : this.#starts.of(name) + tokens * this.#tokenTimes.of(name)
+    const usualMs = tokens === null ? Infinity : this.#starts.of(name) + tokens * this.#tokenTimes.of(name)
+    // Too few of the route's requests may have been streams with an estimate.
+    return Number.isFinite(usualMs) ? usualMs : this.#durations.of(name)
   }
 }
 
--- a/test/gateway/late-acceptance.test.ts
+++ b/test/gateway/late-acceptance.test.ts
@@ -39,6 +39,15 @@
     expect(stoppingProcess(Array.from({ length: 20 }, () => null)).accepts(request(null), stream)).toBe(true)
   })
 
+  // Guards against refusals of requests of a model whose answers are no streams.
+  test('goes by the durations of the route if none of its requests was a stream', () => {
+    const plain = route({ name: 'plain', kind: RouteKind.NonIdempotent, timeoutMs: TIMEOUT_MS })
+    const acceptance = new LateAcceptance({ nowMs: () => 0 })
+    for (let count = 0; count < 10; count += 1) acceptance.recordDuration({ request: request(1000), route: plain, durationMs: 900, firstPartMs: null })
+    acceptance.exitMs = LEFT_MS
+    expect(acceptance.accepts(request(1000), plain)).toBe(true)
+  })
+
   test('refuses while too few streams of the route have ended, and accepts one that may be resumed', () => {
     const acceptance = stoppingProcess([1000, 1000])
     expect(acceptance.accepts(request(1000), stream)).toBe(false)
