--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -47,6 +47,9 @@
 /** Memory of each instance, in MB; the smallest instances of the users have as much. */
 const MEMORY_MB = 178
 
+/** Share of the runners' answers that end with their connection. */
+const UNFRAMED_SHARE = 0.3
+
 /** Callers that upload and read slowly. */
 const SLOW_CALLERS = 6
 
@@ -76,7 +79,7 @@
 export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
   const random = seededRandom(options.seed)
   const ledger = new SoakLedger()
-  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger, memoryMb: MEMORY_MB, limits: { bodyBytes: UPLOAD_LIMIT_BYTES } })
+  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger, memoryMb: MEMORY_MB, limits: { bodyBytes: UPLOAD_LIMIT_BYTES }, unframedShare: UNFRAMED_SHARE })
   const watch = new ProcessWatch({ fleet, memoryMb: MEMORY_MB })
   const violations: string[] = []
   try {
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -34,6 +34,8 @@
   memoryMb?: number
   /** Limits of the first configuration; the usual ones by default. */
   limits?: FleetLimits
+  /** Share of the runners' answers that end with their connection; none by default. */
+  unframedShare?: number
 }
 
 export interface SoakInstance {
@@ -108,6 +110,7 @@
     const id = `i-${index}-${Math.floor(performance.now())}`
     const service = stage === RunnerStage.Plain ? 'plain' : 'model'
     const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request) => this.#options.ledger.ran(request), onBroken: (request) => this.#options.ledger.brokenOff.add(request) })
+    standIn.unframedShare = this.#options.unframedShare ?? 0
     await listen(standIn.server, ip, PORTS.runner)
     this.runners[index] = { id, ip, service, stage, standIn }
     this.store.put(serverKey(id), platformServer({ service, address: `${ip}:${PORTS.runner}`, stage }))
--- a/src/standin/platform-runner-standin.ts
+++ b/src/standin/platform-runner-standin.ts
@@ -36,6 +36,8 @@
   readonly #active = new Set<string>()
   /** Share of the plain answers that are lost after the request ran. */
   lostShare = 0
+  /** Share of the answers that have neither a length nor chunks and end with their connection. */
+  unframedShare = 0
   /** Until when it sends nothing, in milliseconds of the steady clock. */
   silentUntilMs = 0
   /** Answers requests that run in its place; null while it is sound. */
@@ -108,11 +110,21 @@
         return
       }
       const body = plainAnswer(id, url)
-      response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Length': body.length }).end(body)
+      const length = this.#endsWithConnection(response) ? {} : { 'Content-Length': body.length }
+      response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, ...length }).end(body)
     }), WORK_MS)
   }
 
+  /** Decides whether a response ends with its connection, without a length or chunks. */
+  #endsWithConnection (response: ServerResponse): boolean {
+    if (Math.random() >= this.unframedShare) return false
+    response.useChunkedEncodingByDefault = false
+    response.shouldKeepAlive = false
+    return true
+  }
+
   #stream (id: string, after: number, response: ServerResponse): void {
+    this.#endsWithConnection(response)
     response.writeHead(200, { 'X-Request-Id': id, 'X-Response-Signature': `signed ${id}`, 'Content-Type': 'text/event-stream' })
     let event = after
     const timer = setInterval(() => {
