Check the keys of organisations, and pass on the organisation instead of the key

Cause: the gateway knew no organisations.

Change: the configuration's organisations are decoded with the hashes of their keys; requests on routes that are not anonymous need a known key, or get 401, or 503 while a newer configuration is known; the key is asked again before the first send; servers get the organisation's name, whatever the caller sent. Configurations without organisations need no keys. A peer's configuration without organisations is ignored. The answer to a placement request moves to the placement client.

--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -21,6 +21,8 @@
   headTimeoutMs: number
   /** Opens a new connection for this request only. */
   ownConnection: boolean
+  /** Name of the organisation whose key the caller sent; null or undefined on a route that needs none. */
+  organisation?: string | null
   /** Asked just before the request is written; if it returns false, the request is not sent. */
   maySend?: () => boolean
   /** Runs only the prefill, without decoding. */
--- a/src/gateway/caller-request.ts
+++ b/src/gateway/caller-request.ts
@@ -32,6 +32,8 @@
   arrivedMs: number
   /** Id of the last event that the caller received from an interrupted stream; null if the request does not resume a stream. */
   lastEventId: string | null
+  /** Hash of the key that the caller sent; null if it sent none. The key itself is not kept. */
+  keyHash: string | null
   /** Null if the caller stated no token counts, as for a plain service. */
   generationParameters: GenerationParameters | null
 }
--- a/src/gateway/configuration.ts
+++ b/src/gateway/configuration.ts
@@ -32,6 +32,36 @@
   priority: number
   /** Whether a broken stream may be resumed on another server. */
   resumable: boolean
+  /** Whether requests need no key, even if the configuration has organisations. */
+  anonymous: boolean
+}
+
+/** What the quota of an organisation counts. */
+export enum QuotaUnit {
+  Requests = 'requests',
+  Tokens = 'tokens'
+}
+
+/** What an organisation may use, on all instances together. */
+export interface Quota {
+  unit: QuotaUnit
+  /** Units per second. */
+  perS: number
+  /** Units that may be used in addition to the rate after a time of less use. */
+  burst: number
+  /** Tokens for which a request counts that states no token counts. */
+  plainTokens: number
+}
+
+/** An organisation whose callers may send requests. */
+export interface Organisation {
+  name: string
+  /** Hashes of its keys, as hashKey() computes them; the keys themselves are not kept. */
+  keyHashes: string[]
+  /** Goes before the priority of a route; null if the route's applies. */
+  priority: number | null
+  /** Null without a limit. */
+  quota: Quota | null
 }
 
 /** Properties that all model runners of a service share. */
@@ -70,4 +100,7 @@
   routes: Route[]
   services: Service[]
   limits: CallerLimits
+  organisations: Organisation[]
+  /** Whether requests need a key of an organisation, except on anonymous routes. */
+  requiresKeys: boolean
 }
--- a/src/gateway/explain-request.ts
+++ b/src/gateway/explain-request.ts
@@ -12,6 +12,8 @@
   [GatewayRefusal.NoConfiguration]: 'The instance had not received a configuration yet; the request did not run.',
   [GatewayRefusal.UnknownRoute]: 'The active configuration has no route for this host and path.',
   [GatewayRefusal.Malformed]: 'The request could not be read.',
+  [GatewayRefusal.UnknownKey]: 'It had no key, or one that no organisation of the active configuration holds; the request did not run.',
+  [GatewayRefusal.KeyNotYetKnown]: 'Its key is not in the active configuration, and the instance knew that a newer one exists; the request did not run. See configuration.behind.',
   [GatewayRefusal.BodyTooLarge]: 'The body is over the limit of the configuration.',
   [GatewayRefusal.NoServer]: 'No server was known, reachable and ready; the request did not run.',
   [GatewayRefusal.Overloaded]: 'No placement was possible in time; the request did not run. placement.refused says whether decode memory or prefill was short.',
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -4,6 +4,7 @@
 import type { BackendTable } from './backend-table.js'
 import { countsAsAttempt, ExchangeOutcome, provesNotRun, mayTryOtherServer } from './exchange-outcome.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
+import type { KeyCheck } from './key-check.js'
 import type { LimitClient } from './limit-client.js'
 import type { ServerLimits } from './server-limits.js'
 import { type ResponseHead, isFailure } from './http-exchange.js'
@@ -31,6 +32,7 @@
   limits: ServerLimits
   limitClient: LimitClient
   pauses: ServerPauses
+  keyCheck: Pick<KeyCheck, 'admits'>
   nowMs: () => number
   random: () => number
 }
@@ -51,7 +53,7 @@
   const { backendClient, health } = context
   const startedMs = context.nowMs()
   health.recordStart(options.backend)
-  const exchange = pending.cancelOnEnd(backendClient.send({ ...options, maySend: () => maySend(context, pending, options) }))
+  const exchange = pending.cancelOnEnd(backendClient.send({ ...options, organisation: pending.organisation?.name ?? null, maySend: () => maySend(context, pending, options) }))
   const head = await exchange.head
   health.recordEnd(options.backend)
   const result = resultOfHead(context, options, head)
@@ -102,7 +104,8 @@
 }
 
 /** Whether the server still accepts requests: it may have left or turned this instance away since it was chosen, during the prefill or while the connection was established. */
-function maySend ({ backends, pauses, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): boolean {
+function maySend ({ backends, pauses, keyCheck, log, metrics }: ForwardingContext, pending: PendingRequest, { backend, prefillOnly }: SendOptions): boolean {
+  if (!keyCheck.admits(pending)) return false
   if (pauses.isPaused(backend)) {
     metrics.pausedSends.inc()
     log.info('send.paused', { request: pending.request.id, route: pending.route.name, server: backend.id, leftMs: Math.round(pauses.waitMs(backend)), ageMs: Math.round(pending.ageMs()) })
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,7 +15,7 @@
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PeerSnapshot } from './peer-snapshot.js'
 import { PendingRequest } from './pending-request.js'
-import { schedulerHandlers, PlacementClient } from './placement-client.js'
+import { answerPlacementRequest, schedulerHandlers, PlacementClient } from './placement-client.js'
 import { MEMORY_FILL_SHARE, PlacementScheduler } from './placement-scheduler.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { GatewayRefusal, refusalStatus } from './refusal.js'
@@ -31,6 +31,7 @@
 import { StartupQueue } from './startup-queue.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
 import { LeavingSharing } from './leaving-sharing.js'
+import { KeyCheck } from './key-check.js'
 import { LateAcceptance } from './late-acceptance.js'
 import { LimitSharing } from './limit-sharing.js'
 import { StoreRelay } from './store-relay.js'
@@ -90,6 +91,7 @@
   readonly #configurationLag: ConfigurationLag
   readonly #startedMs: number
   #stopping = false
+  readonly #keyCheck = new KeyCheck({ routes: () => this.#routes, mayLackNewKeys: () => this.configurationBehindMs > 0 })
   readonly #lateAcceptance = new LateAcceptance({ nowMs: () => this.#options.nowMs() })
   #refusesNewRequests = false
   readonly #startupQueue = new StartupQueue({
@@ -149,6 +151,7 @@
       nowMs,
       random: options.random,
       metrics: options.metrics,
+      keyCheck: this.#keyCheck,
       limits: this.limitSharing.limits,
       limitClient: this.limitSharing.client,
       pauses: this.pauses,
@@ -324,7 +327,7 @@
     if (message.kind === PeerDatagramKind.Heartbeat) return this.heartbeats.receive(from, message)
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
     if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
-    if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
+    if (message.kind === PeerDatagramKind.Place) return answerPlacementRequest(this.#scheduler, message.request, (answer) => this.#options.send([from], answer))
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
     else handler(this.#scheduler, message)
@@ -342,9 +345,11 @@
     if (this.#refusesNewRequests || !this.#lateAcceptance.accepts(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.Stopping, RETRY_ELSEWHERE_MS)
     // It may have waited behind another request on its connection, or for the first configuration.
     if (this.#options.nowMs() - request.arrivedMs >= longestWaitMs(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.TimedOutBeforeRun, null)
+    const organisation = this.#keyCheck.organisationOf(request, route)
+    if (organisation === undefined) return this.#refuseImmediately(request, responder, ...this.#keyCheck.refusalOf(request))
     const service = chooseService(route, this.#options.random())
     if (service === undefined) return this.#refuseImmediately(request, responder, GatewayRefusal.NoServer, RETRY_ELSEWHERE_MS)
-    const pending = new PendingRequest({ request, route, service, responder, nowMs: this.#options.nowMs })
+    const pending = new PendingRequest({ request, route, service, organisation, responder, nowMs: this.#options.nowMs })
     this.#pendingRequests.add(pending)
     pending.onEnd = (ending) => {
       this.#pendingRequests.delete(pending)
@@ -405,18 +410,6 @@
     }
   }
 
-  #handlePlacementRequest (from: string, { request }: Extract<PeerDatagram, { kind: PeerDatagramKind.Place }>): void {
-    const { id } = request
-    const placement = this.#scheduler.placementOf(id)
-    if (placement !== null) return this.#options.send([from], { kind: PeerDatagramKind.Placed, id, ...placement })
-    const isWaiting = this.#scheduler.isWaiting(id) || this.#scheduler.submit(request, (decision) => {
-      this.#options.send([from], 'refusal' in decision
-        ? { kind: PeerDatagramKind.Refused, id, ...decision }
-        : { kind: PeerDatagramKind.Placed, id, ...decision })
-    })
-    if (isWaiting) this.#options.send([from], { kind: PeerDatagramKind.Waiting, id })
-  }
-
   #trackConfigurationLag (): void {
     const { configurationVersion: own, storeRevision, reachesStore } = this.status()
     const newest = Math.max(own, ...this.instances.live().map(({ configurationVersion }) => configurationVersion))
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -1,5 +1,5 @@
 import type { CallerRequest, Responder } from './caller-request.js'
-import type { Route } from './configuration.js'
+import type { Organisation, Route } from './configuration.js'
 import type { Exchange, ResponseHead } from './http-exchange.js'
 import type { LogFields } from '../logs/log.js'
 import { GatewayRefusal } from './refusal.js'
@@ -12,6 +12,8 @@
   request: CallerRequest
   route: Route
   service: string
+  /** The organisation whose key the request has; null on a route that needs none. */
+  organisation?: Organisation | null
   responder: Responder
   nowMs: () => number
 }
@@ -21,6 +23,7 @@
   readonly request: CallerRequest
   readonly route: Route
   readonly service: string
+  readonly organisation: Organisation | null
   readonly responder: Responder
   /** True once a server may have run the request; a prefill alone does not count. */
   mayHaveRun = false
@@ -38,6 +41,7 @@
     this.request = options.request
     this.route = options.route
     this.service = options.service
+    this.organisation = options.organisation ?? null
     this.responder = options.responder
     this.#nowMs = options.nowMs
     this.#timer = setTimeout(() => this.#handleTimeout(), this.remainingMs() + FINAL_RESPONSE_MARGIN_MS)
@@ -54,8 +58,8 @@
 
   /** Fields of the log line that is written when the request ends. */
   endFields (ending: string): LogFields {
-    const { request, route, service, sentTo, logFields } = this
-    return { request: request.id, route: route.name, service, ending, ms: Math.round(this.ageMs()), sentTo: [...sentTo].join(',') || 'none', ...logFields }
+    const { request, route, service, organisation, sentTo, logFields } = this
+    return { request: request.id, route: route.name, service, ...(organisation === null ? {} : { organisation: organisation.name }), ending, ms: Math.round(this.ageMs()), sentTo: [...sentTo].join(',') || 'none', ...logFields }
   }
 
   /** How the request ended, for its log line; null while it is pending. */
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -343,6 +343,17 @@
   return Math.max(MIN_GIVE_UP_MS, GIVE_UP_LATENCY_FACTOR * targetLatencyMs, GIVE_UP_PAUSE_FACTOR * longestPauseMs)
 }
 
+/** Answers another instance's placement request, now and again with the decision if it has to wait; an answer that was lost is sent anew. */
+export function answerPlacementRequest (scheduler: PlacementScheduler, request: PlacementRequest, answer: (message: PeerDatagram) => void): void {
+  const { id } = request
+  const placement = scheduler.placementOf(id)
+  if (placement !== null) return answer({ kind: PeerDatagramKind.Placed, id, ...placement })
+  const isWaiting = scheduler.isWaiting(id) || scheduler.submit(request, (decision) => {
+    answer('refusal' in decision ? { kind: PeerDatagramKind.Refused, id, ...decision } : { kind: PeerDatagramKind.Placed, id, ...decision })
+  })
+  if (isWaiting) answer({ kind: PeerDatagramKind.Waiting, id })
+}
+
 type SchedulerHandlers = { [K in PeerDatagramKind]?: (scheduler: PlacementScheduler, message: Extract<PeerDatagram, { kind: K }>) => void }
 
 /** Handlers of the messages that get no answer; each applies its message to the coordinator's scheduler. */
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -3,6 +3,10 @@
   NoConfiguration = 'no-configuration',
   UnknownRoute = 'unknown-route',
   Malformed = 'malformed',
+  /** The request has no key of an organisation, or one that the active configuration does not hold. */
+  UnknownKey = 'unknown-key',
+  /** The request has a key that the active configuration does not hold, but a newer configuration may. */
+  KeyNotYetKnown = 'key-not-yet-known',
   BodyTooLarge = 'body-too-large',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
@@ -33,6 +37,8 @@
   [GatewayRefusal.NoConfiguration]: 503,
   [GatewayRefusal.UnknownRoute]: 404,
   [GatewayRefusal.Malformed]: 400,
+  [GatewayRefusal.UnknownKey]: 401,
+  [GatewayRefusal.KeyNotYetKnown]: 503,
   [GatewayRefusal.BodyTooLarge]: 413,
   [GatewayRefusal.NoServer]: 503,
   [GatewayRefusal.Overloaded]: 503,
--- a/src/gateway/route-table.ts
+++ b/src/gateway/route-table.ts
@@ -1,5 +1,5 @@
 import type { CallerRequest } from './caller-request.js'
-import type { CallerLimits, Configuration, Route, Service } from './configuration.js'
+import type { CallerLimits, Configuration, Organisation, Route, Service } from './configuration.js'
 
 /** Longest time to receive a request that no route selects, in milliseconds. */
 const MAX_UNROUTED_WAIT_MS = 60_000
@@ -10,11 +10,17 @@
   readonly limits: CallerLimits
   readonly #routes = new Map<string, Map<string, Route>>()
   readonly #services: Map<string, Service>
+  readonly #organisations = new Map<string, Organisation>()
+  readonly #requiresKeys: boolean
 
   constructor (configuration: Configuration) {
     this.version = configuration.version
     this.limits = configuration.limits
     this.#services = new Map(configuration.services.map((service) => [service.name, service]))
+    this.#requiresKeys = configuration.requiresKeys
+    for (const organisation of configuration.organisations) {
+      for (const keyHash of organisation.keyHashes) this.#organisations.set(keyHash, organisation)
+    }
     for (const route of configuration.routes) {
       const host = route.host.toLowerCase()
       const routesByPrefix = this.#routes.get(host) ?? new Map<string, Route>()
@@ -39,6 +45,16 @@
   service (name: string): Service | undefined {
     return this.#services.get(name)
   }
+
+  /** Whether requests on the route need a key. */
+  needsKey ({ anonymous }: Route): boolean {
+    return this.#requiresKeys && !anonymous
+  }
+
+  /** The organisation that holds the key with this hash; undefined if none does. */
+  organisation (keyHash: string | null): Organisation | undefined {
+    return keyHash === null ? undefined : this.#organisations.get(keyHash)
+  }
 }
 
 /** Chooses a service of the route at random, in proportion to the weights. `random` is at least 0 and less than 1. */
--- a/src/gateway/snapshot-schema.ts
+++ b/src/gateway/snapshot-schema.ts
@@ -1,6 +1,6 @@
 import * as z from 'zod'
 import { isServerAddress, RunnerRole, ServerState } from './backend.js'
-import { RouteKind } from './configuration.js'
+import { QuotaUnit, RouteKind } from './configuration.js'
 
 /** Time that a runner needs to change its role if an instance of an older version does not state it, in milliseconds. */
 const DEFAULT_ROLE_CHANGE_MS = 6000
@@ -34,7 +34,15 @@
   services: z.array(z.object({ service: z.string(), weight: z.number() })),
   attempts: z.number(),
   priority: z.number(),
-  resumable: z.boolean()
+  resumable: z.boolean(),
+  anonymous: z.boolean()
+})
+
+const organisationSchema = z.object({
+  name: z.string(),
+  keyHashes: z.array(z.string()),
+  priority: z.number().nullable(),
+  quota: z.object({ unit: z.enum(QuotaUnit), perS: z.number().nonnegative(), burst: z.number().nonnegative(), plainTokens: z.number().nonnegative() }).nullable()
 })
 
 const engineSchema = z.object({
@@ -48,14 +56,21 @@
   version: z.number(),
   routes: z.array(routeSchema),
   services: z.array(z.object({ name: z.string(), maxConnections: z.number(), engine: engineSchema.nullable() })),
-  limits: z.object({ headerBytes: z.number(), bodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() })
+  limits: z.object({ headerBytes: z.number(), bodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() }),
+  organisations: z.array(organisationSchema),
+  requiresKeys: z.boolean()
 })
 
+/** Peers of older versions send configurations without organisations, by which requests without a key would be served. */
+function isWithoutOrganisations (configuration: unknown): boolean {
+  return typeof configuration === 'object' && configuration !== null && !('requiresKeys' in configuration)
+}
+
 /** A snapshot of a peer as it is decoded. Peers of older and newer versions may lack fields or have more; an odd server names none to use, and the others hold. */
 export const snapshotSchema = z.object({
   era: z.int().nonnegative().optional(),
   revision: z.int().nonnegative(),
-  configuration: configurationSchema.nullable(),
+  configuration: z.preprocess((value) => isWithoutOrganisations(value) ? null : value, configurationSchema.nullable()),
   backends: listOf(backendSchema),
   missing: listOf(missingSchema).default([]),
   departed: listOf(departedSchema).default([])
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -28,6 +28,7 @@
     attempts: 2,
     priority: 1,
     resumable: false,
+    anonymous: false,
     ...options
   }
 }
@@ -41,12 +42,14 @@
       { name: 'model', maxConnections: 100, engine: { slots: 64, memoryTokens: 100_000, tokensPerEvent: 73, roleChangeMs: 6000 } }
     ],
     limits: { headerBytes: 16384, bodyBytes: 1 << 20, headerTimeoutMs: 3000, idleTimeoutMs: 15000 },
+    organisations: [],
+    requiresKeys: false,
     ...options
   }
 }
 
 export function callerRequest (options: Partial<CallerRequest> = {}): CallerRequest {
-  return { id: 'q1', host: 'h.example', method: 'GET', target: '/p/x', path: '/p/x', headers: [], body: Buffer.alloc(0), deadlineMs: null, arrivedMs: 0, lastEventId: null, generationParameters: null, ...options }
+  return { id: 'q1', host: 'h.example', method: 'GET', target: '/p/x', path: '/p/x', headers: [], body: Buffer.alloc(0), deadlineMs: null, arrivedMs: 0, lastEventId: null, keyHash: null, generationParameters: null, ...options }
 }
 
 /** Creates a log that records its lines as `event key=value ...`. */
--- a/test/gateway/limit-fixtures.ts
+++ b/test/gateway/limit-fixtures.ts
@@ -5,11 +5,11 @@
 import { ServerPauses } from '../../src/gateway/server-pauses.js'
 import { recordingLog } from './gateway-fixtures.js'
 
-/** Limits and pauses of servers as a single instance knows and keeps them. */
-export function soleInstanceLimits (nowMs: () => number): { limits: ServerLimits, limitKeeper: LimitKeeper, limitClient: LimitClient, pauses: ServerPauses } {
+/** Limits and pauses of servers as a single instance knows and keeps them, with a configuration that needs no keys. */
+export function soleInstanceLimits (nowMs: () => number): { limits: ServerLimits, limitKeeper: LimitKeeper, limitClient: LimitClient, pauses: ServerPauses, keyCheck: { admits: () => boolean } } {
   const limits = new ServerLimits({ nowMs, log: recordingLog() })
   const limitKeeper = new LimitKeeper({ nowMs, limits, fleetShare: () => 1 })
   const instances = new InstanceTable({ ip: '10.0.0.1', nowMs })
   const limitClient = new LimitClient({ ip: '10.0.0.1', nowMs, limits, keeper: limitKeeper, instances, canCoordinate: () => true, send: () => {} })
-  return { limits, limitKeeper, limitClient, pauses: new ServerPauses({ nowMs, random: () => 0, log: recordingLog() }) }
+  return { limits, limitKeeper, limitClient, pauses: new ServerPauses({ nowMs, random: () => 0, log: recordingLog() }), keyCheck: { admits: () => true } }
 }
--- a/test/platform/store-entries.test.ts
+++ b/test/platform/store-entries.test.ts
@@ -29,6 +29,23 @@
     }))).toMatchSnapshot()
   })
 
+  // Guards against keys that stay in memory, and against a rate of 0 that refuses everything.
+  test('decodes organisations with the hashes of their keys', () => {
+    const configuration = {
+      Version: 8,
+      Routes: [{ Name: 'r1', Host: 'h.example', PathPrefix: '/a/', Kind: 'idempotent', TimeoutMs: 1000, Service: 's1', AllowAnonymous: true }],
+      Services: [],
+      Limits: { HeaderBytes: 16384, BodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000 },
+      Tenants: [
+        { Name: 'org-a', ApiKeys: ['key-a1', 'key-a2'], Priority: 1, Unit: 'tokens', PlainTokens: 200, RatePerS: 335519, Burst: 335519 },
+        { Name: 'org-b', ApiKeys: [], RatePerS: 0 }
+      ]
+    }
+    const decoded = decodeItem(item('op/config', configuration))
+    expect(decoded).toMatchSnapshot()
+    expect(JSON.stringify(decoded)).not.toMatch(/key-a/)
+  })
+
   test('decodes a backend server and its removal', () => {
     expect(decodeItem(item('servers/i-1', runner))).toMatchSnapshot()
     expect(decodeItem({ Key: 'servers/i-1', Revision: 9, Deleted: true })).toEqual({ kind: 'backend-removed', id: 'i-1' })
