Keep the quotas of organisations over all instances together

Cause: nothing counted what an organisation uses.

Change: each organisation has a coordinator among the ready instances, which keeps a token bucket for it; instances ask it by datagram before they forward a costly request, and count cheap ones afterwards. Deputies answer while the coordinator is silent, from a bounded share. A request that was sent to no server returns its units. 429 names the time at which the organisation has units again.

--- a/src/gateway/explain-request.ts
+++ b/src/gateway/explain-request.ts
@@ -14,6 +14,8 @@
   [GatewayRefusal.Malformed]: 'The request could not be read.',
   [GatewayRefusal.UnknownKey]: 'It had no key, or one that no organisation of the active configuration holds; the request did not run.',
   [GatewayRefusal.KeyNotYetKnown]: 'Its key is not in the active configuration, and the instance knew that a newer one exists; the request did not run. See configuration.behind.',
+  [GatewayRefusal.OverQuota]: 'Its organisation had used up its quota; the request did not run. quota.refused names its cost, the quota, the instance that decided and the time at which the organisation has units again.',
+  [GatewayRefusal.QuotaUndecided]: 'No instance that keeps the quota of its organisation answered, and the share of this instance was used up; the request did not run. See quota.coordinator-changed.',
   [GatewayRefusal.BodyTooLarge]: 'The body is over the limit of the configuration.',
   [GatewayRefusal.NoServer]: 'No server was known, reachable and ready; the request did not run.',
   [GatewayRefusal.Overloaded]: 'No placement was possible in time; the request did not run. placement.refused says whether decode memory or prefill was short.',
--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -53,6 +53,7 @@
   const { backendClient, health } = context
   const startedMs = context.nowMs()
   health.recordStart(options.backend)
+  pending.sendStarted = true
   const exchange = pending.cancelOnEnd(backendClient.send({ ...options, organisation: pending.organisation?.name ?? null, maySend: () => maySend(context, pending, options) }))
   const head = await exchange.head
   health.recordEnd(options.backend)
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,6 +1,12 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 const DURATION_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20]
+/** Number of organisations with values of their own in metrics; the others share one. */
+const MAX_LABELLED_ORGANISATIONS = 32
+
+/** Label of all other organisations. */
+const OTHER_ORGANISATIONS = 'others'
+
 const MS_PER_SECOND = 1000
 const MICROSECONDS_PER_SECOND = 1_000_000
 
@@ -29,10 +35,14 @@
   readonly leavingServers: Gauge
   readonly pausedSends: Counter
   readonly pausedServers: Gauge
+  readonly quotaDecisions: Counter<'organisation' | 'verdict'>
+  readonly coordinatedQuotas: Gauge
   readonly bufferedBytes: Gauge
   readonly evictedExchanges: Counter
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number } = {}) {
+  readonly #organisations = new Set<string>()
+
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number, coordinatedQuotas?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -47,6 +57,8 @@
     this.leavingServers = computedGauge({ name: 'daisybarrow_gateway_leaving_servers', help: 'Servers that have said in their answers that they leave', registers, value: () => options.leavingServers?.() ?? 0 })
     this.pausedSends = new Counter({ name: 'daisybarrow_gateway_paused_sends_total', help: 'Sends withheld because the server had turned this instance away for a time', registers })
     this.pausedServers = computedGauge({ name: 'daisybarrow_gateway_paused_servers', help: 'Servers that have turned this instance away for a time', registers, value: () => options.pausedServers?.() ?? 0 })
+    this.quotaDecisions = new Counter({ name: 'daisybarrow_gateway_quota_decisions_total', help: 'Decisions about requests of organisations with quotas, by verdict', labelNames: ['organisation', 'verdict'], registers })
+    this.coordinatedQuotas = computedGauge({ name: 'daisybarrow_gateway_coordinated_quotas', help: 'Organisations whose quotas this instance keeps', registers, value: () => options.coordinatedQuotas?.() ?? 0 })
     this.bufferedBytes = computedGauge({ name: 'daisybarrow_gateway_buffered_bytes', help: 'Bytes that all exchanges keep in buffers', registers, value: () => options.bufferedBytes?.() ?? 0 })
     this.evictedExchanges = new Counter({ name: 'daisybarrow_gateway_evicted_exchanges_total', help: 'Exchanges ended because the buffers of all together exceeded their limit', registers })
     this.processorSeconds = new Counter({
@@ -62,6 +74,11 @@
     this.residentBytes = new Gauge({ name: 'process_resident_memory_bytes', help: 'Resident memory in bytes', registers, collect () { this.set(process.memoryUsage.rss()) } })
   }
 
+  countQuotaDecision (organisation: string, verdict: string): void {
+    if (this.#organisations.size < MAX_LABELLED_ORGANISATIONS) this.#organisations.add(organisation)
+    this.quotaDecisions.inc({ organisation: this.#organisations.has(organisation) ? organisation : OTHER_ORGANISATIONS, verdict })
+  }
+
   countEnd (kind: string, ending: string, ageMs: number): void {
     this.endedRequests.inc({ kind, ending })
     this.requestDuration.observe({ kind }, ageMs / MS_PER_SECOND)
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -33,6 +33,11 @@
     slack: z.number().nonnegative().describe('Retries allowed to all instances together in one window, in addition to the ratio'),
     windowS: z.number().positive().describe('Length of the window in seconds')
   }),
+  quota: z.object({
+    windowS: z.number().positive().default(8).describe('Length of the window in which the use of an organisation is judged, in seconds'),
+    overshoot: z.number().nonnegative().default(0.1).describe('Share of the quota in a window by which it may be exceeded'),
+    slack: z.number().nonnegative().default(0).describe('Units by which it may be exceeded besides')
+  }).prefault({}).describe('How exactly the quotas of organisations have to hold over all instances together'),
   logLevel: z.enum(['debug', 'info', 'warn', 'error']).default('info').describe('Lowest level of log lines written')
 })
 
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -20,6 +20,7 @@
 import { forwardPlain } from './plain-forwarding.js'
 import { GatewayRefusal, refusalStatus } from './refusal.js'
 import { PromptQuarantine, type SuspectReport } from './prompt-quarantine.js'
+import { endAfterFault } from './request-fault.js'
 import { RetryBudget } from './retry-budget.js'
 import { RoleRebalancer } from './role-rebalancer.js'
 import { chooseService, longestWaitMs, RouteTable } from './route-table.js'
@@ -34,6 +35,8 @@
 import { KeyCheck } from './key-check.js'
 import { LateAcceptance } from './late-acceptance.js'
 import { LimitSharing } from './limit-sharing.js'
+import { QuotaCheck } from './quota-check.js'
+import { QuotaSharing } from './quota-sharing.js'
 import { StoreRelay } from './store-relay.js'
 import { StoreView } from './store-view.js'
 import { ReportExchange } from './report-exchange.js'
@@ -79,6 +82,8 @@
   readonly #suspectExchange: ReportExchange<SuspectReport>
   readonly limitSharing: LimitSharing
   readonly leavingSharing: LeavingSharing
+  readonly quotaSharing: QuotaSharing
+  readonly #quotaCheck: QuotaCheck
   /** Servers that have turned this instance away for a time. */
   readonly pauses: ServerPauses
   readonly #pendingRequests = new Set<PendingRequest>()
@@ -116,6 +121,8 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
+    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: () => settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
+    this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
@@ -312,6 +319,7 @@
     this.#suspectExchange.sendChanges(this.instances.knownAddresses())
     this.limitSharing.sendChanges(this.instances.knownAddresses())
     this.#coordinatedServices.update(this.#configuration)
+    this.quotaSharing.tick(this.#configuration)
     this.storeRelay.tick()
     if (!this.#storeView.reachesStore && !this.storeRelay.needsStore()) this.recordStoreReachability(true)
     if (this.#storeView.reachesStore && !this.#stopping) this.#rebalanceRoles()
@@ -326,7 +334,7 @@
   handleDatagram (from: string, message: PeerDatagram): void {
     if (message.kind === PeerDatagramKind.Heartbeat) return this.heartbeats.receive(from, message)
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
+    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message) || this.quotaSharing.handleDatagram(from, message)) return
     if (message.kind === PeerDatagramKind.Place) return answerPlacementRequest(this.#scheduler, message.request, (answer) => this.#options.send([from], answer))
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
@@ -357,23 +365,15 @@
       this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
       this.#options.log.info('request.ended', { ...pending.endFields(ending), configuration: this.#routes?.version ?? -1, storeRevision: this.storePosition.revision })
     }
+    this.#quotaCheck.whenAdmitted(pending, () => this.#forward(pending))
+  }
+
+  #forward (pending: PendingRequest): void {
+    const { request, route, service } = pending
     this.#forwardingContext.retryBudget.recordRequest(service)
     const isModelRequest = request.generationParameters !== null && this.#routes?.service(service)?.engine != null
     const forwarded = route.kind === RouteKind.Streaming && isModelRequest ? forwardStream(this.#forwardingContext, pending) : forwardPlain(this.#forwardingContext, pending)
-    forwarded.catch((error: unknown) => {
-      this.#options.log.error('request.fault', { request: request.id, detail: error instanceof Error ? String(error.stack) : String(error) })
-      this.#endAfterFault(pending)
-    })
-  }
-
-  /** The fault may have occurred after the request was written, so it can't be said that it has not run. */
-  #endAfterFault (pending: PendingRequest): void {
-    try {
-      pending.refuse(GatewayRefusal.OutcomeUnknown)
-    } catch (error) {
-      this.#options.log.error('request.fault', { request: pending.request.id, detail: String(error) })
-      pending.abort(GatewayRefusal.OutcomeUnknown)
-    }
+    forwarded.catch((error: unknown) => endAfterFault(pending, error, this.#options.log))
   }
 
   /** Begins the shutdown: the instance is no longer ready, is not listed in the directory and coordinates no service. Requests that may end before `exitMs` are still served. */
@@ -406,6 +406,7 @@
       limits: this.limitSharing.limits.reports(),
       leaving: this.leavingSharing.notices.reports(),
       pauses: this.pauses.list(this.backends.all()),
+      quotas: this.quotaSharing.dump(),
       desk: this.#scheduler.dump()
     }
   }
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -35,7 +35,13 @@
   /** Requests a permit for one send to a server with a limit from the instance that keeps it. */
   Admit = 'admit',
   /** Answers a request for a permit. */
-  Admitted = 'admitted'
+  Admitted = 'admitted',
+  /** Requests units of an organisation's quota from the instance that coordinates it, tells it of units that were used, or returns some. */
+  QuotaRequest = 'quota-request',
+  /** Answers a request for units of a quota. */
+  QuotaAnswer = 'quota-answer',
+  /** Tells the instances that may follow a coordinator how full its buckets are. */
+  QuotaFill = 'quota-fill'
 }
 
 const instanceStatusSchema = z.object({
@@ -112,6 +118,18 @@
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Admit), id: z.string(), server: z.string(), report: limitReportSchema }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
+  z.object({
+    kind: z.literal(PeerDatagramKind.QuotaRequest),
+    id: z.string(),
+    organisation: z.string(),
+    cost: z.number(),
+    spent: z.boolean(),
+    perS: z.number().nonnegative(),
+    burst: z.number().nonnegative(),
+    version: z.number()
+  }),
+  z.object({ kind: z.literal(PeerDatagramKind.QuotaAnswer), id: z.string(), granted: z.boolean(), waitMs: z.number().nonnegative().nullable() }),
+  z.object({ kind: z.literal(PeerDatagramKind.QuotaFill), buckets: z.array(z.object({ organisation: z.string(), fill: z.number() })) }),
   z.object({
     kind: z.literal(PeerDatagramKind.Suspects),
     suspects: z.array(z.object({
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -27,6 +27,8 @@
   readonly responder: Responder
   /** True once a server may have run the request; a prefill alone does not count. */
   mayHaveRun = false
+  /** True once a send to a server, also of a prefill, has begun. */
+  sendStarted = false
   /** Ids of the servers to which the request was sent, for the route's limit of attempts; prefills do not count. */
   readonly sentTo = new Set<string>()
   readonly #nowMs: () => number
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -8,6 +8,10 @@
   /** The request has a key that the active configuration does not hold, but a newer configuration may. */
   KeyNotYetKnown = 'key-not-yet-known',
   BodyTooLarge = 'body-too-large',
+  /** The organisation has used up its quota. */
+  OverQuota = 'over-quota',
+  /** No instance that keeps the quota of the organisation has answered. */
+  QuotaUndecided = 'quota-undecided',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
   /** The request could not be placed on runners. */
@@ -40,6 +44,8 @@
   [GatewayRefusal.UnknownKey]: 401,
   [GatewayRefusal.KeyNotYetKnown]: 503,
   [GatewayRefusal.BodyTooLarge]: 413,
+  [GatewayRefusal.OverQuota]: 429,
+  [GatewayRefusal.QuotaUndecided]: 503,
   [GatewayRefusal.NoServer]: 503,
   [GatewayRefusal.Overloaded]: 503,
   [GatewayRefusal.CrashingPrompt]: 503,
--- a/src/placement/rendezvous.ts
+++ b/src/placement/rendezvous.ts
@@ -18,3 +18,11 @@
   }
   return best
 }
+
+/** All candidates in the order of their weights for the key, the highest first. */
+export function rendezvousOrder (key: string, candidates: string[]): string[] {
+  return candidates
+    .map((candidate) => ({ candidate, weight: h32(`${candidate}\n${key}`) }))
+    .sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1))
+    .map(({ candidate }) => candidate)
+}
