Check a configuration before it is sent

Cause: an entry that can never match, limits that contradict each other or a key held by two organisations show only when callers are refused.

Change: daisybarrow-check reads a configuration with the gateway's own decoder, reports errors and warnings with their place and remedy, and what differs from the version in force, in a file or in the store, with a warning where callers are cut off. The decisions are in src/gateway (configuration-check, configuration-comparison, configuration-report); platform/check.ts only reads.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,8 +2,9 @@
 import { build } from 'esbuild'
 
 await build({
-  entryPoints: ['platform/main.ts'],
-  outfile: 'target/gateway.mjs',
+  entryPoints: { gateway: 'platform/main.ts', check: 'platform/check.ts' },
+  outdir: 'target',
+  outExtension: { '.js': '.mjs' },
   bundle: true,
   minifySyntax: true,
   minifyWhitespace: true,
