--- a/test/platform/malformed-messages.test.ts
+++ b/test/platform/malformed-messages.test.ts
@@ -54,7 +54,10 @@
     { kind: PeerDatagramKind.StoreState, era: 0, revision: 9, reachesStore: true, fromRevision: 4, changes: [], graceLeftMs: 0 },
     { kind: PeerDatagramKind.Report, runs: [{ id: 'q', service: 'model', decode: 'd', promptTokens: 10, output: { estimateTokens: null, maxTokens: 10 }, madeTokens: 1 }] },
     { kind: PeerDatagramKind.Place, request: { id: 'q', service: 'model', failureDomain: 'a', promptTokens: 10, output: { estimateTokens: null, maxTokens: 10 }, promptId: null, objectiveLeftMs: 1, patienceMs: 1, pauses: [] } },
-    { kind: PeerDatagramKind.Leaving, servers: [{ server: 'b', ageMs: 1 }] }
+    { kind: PeerDatagramKind.Leaving, servers: [{ server: 'b', ageMs: 1 }] },
+    { kind: PeerDatagramKind.QuotaRequest, id: 'q', organisation: 'o', cost: 10, spent: false, perS: 100, burst: 10, version: 1 },
+    { kind: PeerDatagramKind.QuotaAnswer, id: 'q', granted: false, waitMs: null },
+    { kind: PeerDatagramKind.QuotaFill, buckets: [{ organisation: 'o', fill: 0.5 }] }
   ]
   const mutated = fc.tuple(fc.constantFrom(...valid), fc.array(fc.tuple(fc.nat(), fc.nat(255)), { maxLength: 4 }), fc.nat(200)).map(([message, changes, cut]) => {
     const bytes = Buffer.from(encodeDatagram(message))
