Follow the coordinators of a thousand organisations at low cost, and compare the designs under load

Cause: each instance computed the order of all candidates for each organisation every 100 ms: with 300 instances and 1,000 organisations 300,000 hashes of strings ten times a second.

Change: candidates are hashed once, the order is computed only after the candidates or the configuration have changed, and buckets of organisations that moved elsewhere are given up.

--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -1,4 +1,4 @@
-import { rendezvous, rendezvousOrder } from '../placement/rendezvous.js'
+import { rendezvous } from '../placement/rendezvous.js'
 import type { LivenessEntry } from './liveness-digest.js'
 
 /** Time between heartbeats, in milliseconds: a quarter of the time after which a silent instance counts as dead in a small fleet. */
@@ -34,8 +34,8 @@
 /** Time without a heartbeat after which an instance that does not answer placement requests counts as dead, in milliseconds; more than two heartbeats are then missing. */
 export const UNRESPONSIVE_LIVENESS_MS = 1100
 
-/** Processor share of the smallest instances that are ranked as coordinators, relative to the largest one; smaller ones answer late under load. */
-const MIN_RANKED_SHARE = 0.5
+/** Processor share of the smallest instances that share the coordination of many subjects, relative to the largest one; smaller ones answer late under load. */
+const MIN_CANDIDATE_SHARE = 0.5
 
 /** Time without a heartbeat, liveness entry or mention of its address after which an instance is evicted, in milliseconds. */
 const EVICTION_MS = 30000
@@ -198,13 +198,13 @@
     return rendezvous(service, candidates.filter(({ share }) => share === largestShare).map(({ ip }) => ip)) ?? self
   }
 
-  /** Addresses of the instances that may decide about a subject by this instance's view, the coordinator first: ready ones with at least half of the largest processor share, in rendezvous order. `canCoordinate` as in `coordinatorOf`. */
-  rankedCoordinators (subject: string, { canCoordinate, count }: { canCoordinate: boolean, count: number }): string[] {
+  /** Addresses of the instances that may share the coordination of many subjects, sorted: ready ones with at least half of the largest processor share. `canCoordinate` as in `coordinatorOf`. */
+  coordinatorCandidates (canCoordinate: boolean): string[] {
     const { ip: self, processorShare } = this.#options
     const candidates = this.live().filter(({ ready }) => ready).map(({ ip, processorShare: share }) => ({ ip, share }))
     if (canCoordinate || candidates.length === 0) candidates.push({ ip: self, share: processorShare })
-    const smallestShare = MIN_RANKED_SHARE * Math.max(...candidates.map(({ share }) => share))
-    return rendezvousOrder(subject, candidates.filter(({ share }) => share >= smallestShare).map(({ ip }) => ip)).slice(0, count)
+    const smallestShare = MIN_CANDIDATE_SHARE * Math.max(...candidates.map(({ share }) => share))
+    return candidates.filter(({ share }) => share >= smallestShare).map(({ ip }) => ip).sort()
   }
 
   /** A random sample of the items, by a partial shuffle in place. */
--- a/src/gateway/quota-ledger.ts
+++ b/src/gateway/quota-ledger.ts
@@ -54,6 +54,11 @@
     this.#buckets.set(limit.organisation, { limit, level, updatedMs: this.#options.nowMs(), usedMs: this.#options.nowMs() })
   }
 
+  /** Gives the bucket of an organisation up. */
+  close (organisation: string): void {
+    this.#buckets.delete(organisation)
+  }
+
   /** Takes the units that a request costs, if there are as many. */
   take (limit: OrganisationLimit, cost: number): LedgerDecision {
     const bucket = this.#used(limit)
--- a/src/gateway/quota-sharing.ts
+++ b/src/gateway/quota-sharing.ts
@@ -1,4 +1,5 @@
 import type { Log } from '../logs/log.js'
+import { RendezvousOrder } from '../placement/rendezvous.js'
 import type { Configuration, Organisation } from './configuration.js'
 import type { InstanceTable } from './instance-table.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
@@ -62,9 +63,13 @@
   readonly #fills = new Map<string, { fill: number, toldMs: number }>()
   #fillsSentMs = -Infinity
   readonly #coordinators = new Map<string, { ip: string, sinceMs: number }>()
-  /** Ranked instances by organisation, as of the last tick. */
+  /** Instances that may coordinate organisations, as of the last tick, and their order for each organisation. */
+  #candidates: string[] = []
+  #order = new RendezvousOrder([])
   readonly #ranked = new Map<string, string[]>()
+  #followedConfiguration: Configuration | null = null
   #rateShare = 1
+  #knownCount = 1
   /** When this instance first had a configuration, in milliseconds. */
   #configuredMs: number | null = null
 
@@ -89,7 +94,7 @@
       rateShare: (organisation) => this.#deputyRateShare(organisation),
       grantsOversized: true
     })
-    const equalShare = (limit: OrganisationLimit): number => tolerance(limit) * toleranceShare.uncounted / instances.knownCount()
+    const equalShare = (limit: OrganisationLimit): number => tolerance(limit) * toleranceShare.uncounted / this.#knownCount
     this.client = new QuotaClient({
       ip,
       nowMs,
@@ -97,7 +102,7 @@
       windowS: () => bounds().windowS,
       coordinators: (organisation) => this.#rankedFor(organisation),
       ledgerFor: (from, limit) => this.#ledgerFor(from, limit),
-      ownLedger: new QuotaLedger({ nowMs, bounds, capacity: equalShare, startLevel: equalShare, rateShare: () => 1 / instances.knownCount(), grantsOversized: false }),
+      ownLedger: new QuotaLedger({ nowMs, bounds, capacity: equalShare, startLevel: equalShare, rateShare: () => 1 / this.#knownCount, grantsOversized: false }),
       uncountedUnits: equalShare,
       onSilence: (silent) => instances.markDeadIfSilent(silent),
       onAnswer: (answering) => this.#probedMs.delete(answering),
@@ -111,14 +116,17 @@
     const limited = configuration?.organisations.filter(({ quota }) => quota !== null) ?? []
     if (limited.length === 0 && this.#coordinators.size === 0) return
     const { instances, nowMs } = this.#options
-    this.#ranked.clear()
     this.#ledger.refresh()
     this.#deputyLedger.refresh()
-    this.#rateShare = rateShareOf(instances.servingCount() / instances.knownCount())
+    this.#knownCount = instances.knownCount()
+    this.#rateShare = rateShareOf(instances.servingCount() / this.#knownCount)
     for (const [ip, askedMs] of this.#askedMs) if (askedMs < nowMs() - ASKER_MEMORY_MS) this.#askedMs.delete(ip)
     this.#sendProbes()
-    for (const organisation of limited) this.#followCoordinator(organisation, configuration?.version ?? 0)
-    this.#retain(new Set(limited.map(({ name }) => name)))
+    if (this.#updateCandidates() || configuration !== this.#followedConfiguration) {
+      this.#followedConfiguration = configuration
+      for (const organisation of limited) this.#followCoordinator(organisation, configuration?.version ?? 0)
+      this.#retain(new Set(limited.map(({ name }) => name)))
+    }
     this.#sendFills()
     this.client.tellUses()
   }
@@ -141,12 +149,22 @@
   }
 
   #rankedFor (organisation: string): string[] {
-    const { instances, canCoordinate } = this.#options
-    const ranked = this.#ranked.get(organisation) ?? instances.rankedCoordinators(organisation, { canCoordinate: canCoordinate(), count: RANKED_INSTANCES })
+    if (this.#candidates.length === 0) this.#updateCandidates()
+    const ranked = this.#ranked.get(organisation) ?? this.#order.first(organisation, RANKED_INSTANCES)
     this.#ranked.set(organisation, ranked)
     return ranked
   }
 
+  /** Returns whether the candidates have changed since the last tick. */
+  #updateCandidates (): boolean {
+    const candidates = this.#options.instances.coordinatorCandidates(this.#options.canCoordinate())
+    if (candidates.join() === this.#candidates.join()) return false
+    this.#candidates = candidates
+    this.#order = new RendezvousOrder(candidates)
+    this.#ranked.clear()
+    return true
+  }
+
   #ledgerFor (from: string, limit: OrganisationLimit): QuotaLedger {
     const { ip, nowMs } = this.#options
     const [coordinator = ip] = this.#rankedFor(limit.organisation)
@@ -158,10 +176,10 @@
 
   /** A deputy gives out none of the rate while it hears from the coordinator itself, only the units with which its bucket starts. */
   #deputyRateShare (organisation: string): number {
-    const { nowMs, instances } = this.#options
+    const { nowMs } = this.#options
     const probed = this.#probedMs.get(this.#rankedFor(organisation)[0] ?? '')
     if (probed === undefined || nowMs() - probed.sinceMs < UNANSWERED_PROBES_MS) return 0
-    return Math.max(DEPUTY_RATE_SHARE * Math.min(1, this.#askedMs.size / instances.knownCount()), FULL_DEPUTY_RATE_SHARE * this.#fillOf(organisation))
+    return Math.max(DEPUTY_RATE_SHARE * Math.min(1, this.#askedMs.size / this.#knownCount), FULL_DEPUTY_RATE_SHARE * this.#fillOf(organisation))
   }
 
   /** Share of the coordinator's bucket that was left when it last told of it; 0 if that is too long ago. */
@@ -203,7 +221,7 @@
     this.#coordinators.set(name, { ip: coordinator, sinceMs: nowMs() })
     if (coordinator !== ip && previous?.ip !== ip) return
     log.info('quota.coordinator-changed', { organisation: name, coordinates: coordinator === ip, instances: instances.servingCount() })
-    if (coordinator !== ip) return
+    if (coordinator !== ip) return this.#ledger.close(name)
     const limit = { organisation: name, perS: quota.perS, burst: quota.burst, version }
     this.#ledger.open(limit, this.#startLevel(limit, previous?.sinceMs))
   }
--- a/src/placement/rendezvous.ts
+++ b/src/placement/rendezvous.ts
@@ -19,10 +19,33 @@
   return best
 }
 
-/** All candidates in the order of their weights for the key, the highest first. */
-export function rendezvousOrder (key: string, candidates: string[]): string[] {
-  return candidates
-    .map((candidate) => ({ candidate, weight: h32(`${candidate}\n${key}`) }))
-    .sort((a, b) => b.weight - a.weight || (a.candidate < b.candidate ? -1 : 1))
-    .map(({ candidate }) => candidate)
+/** Rendezvous hashing of many keys over the same candidates: each candidate is hashed only once. */
+export class RendezvousOrder {
+  readonly #candidates: Array<{ candidate: string, hash: number }>
+
+  constructor (candidates: string[]) {
+    this.#candidates = candidates.map((candidate) => ({ candidate, hash: h32(candidate) }))
+  }
+
+  /** The candidates with the highest weights for the key, the highest first. */
+  first (key: string, count: number): string[] {
+    const keyHash = h32(key)
+    const best: Array<{ candidate: string, weight: number }> = []
+    for (const { candidate, hash } of this.#candidates) {
+      const weight = mixHashes(keyHash, hash)
+      const position = best.findIndex((other) => weight > other.weight || (weight === other.weight && candidate < other.candidate))
+      if (position === -1 && best.length >= count) continue
+      best.splice(position === -1 ? best.length : position, 0, { candidate, weight })
+      if (best.length > count) best.pop()
+    }
+    return best.map(({ candidate }) => candidate)
+  }
+}
+
+/** The finalizer of MurmurHash3, over two hashes. */
+function mixHashes (first: number, second: number): number {
+  let mixed = first ^ second
+  mixed = Math.imul(mixed ^ (mixed >>> 16), 0x85ebca6b)
+  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35)
+  return (mixed ^ (mixed >>> 16)) >>> 0
 }
--- a/test/gateway/quota-fleet.ts
+++ b/test/gateway/quota-fleet.ts
@@ -4,7 +4,9 @@
 import { decodeDatagram, encodeDatagram, type PeerDatagram } from '../../src/gateway/peer-datagram.js'
 import { type QuotaBounds, toleranceOf, windowUnits } from '../../src/gateway/quota-bounds.js'
 import { type QuotaAdmission, QuotaVerdict } from '../../src/gateway/quota-client.js'
+import type { OrganisationLimit } from '../../src/gateway/quota-ledger.js'
 import { QuotaSharing } from '../../src/gateway/quota-sharing.js'
+import { RendezvousOrder } from '../../src/placement/rendezvous.js'
 import { seededRandom } from '../../src/runtime/random.js'
 import { configuration, recordingLog } from './gateway-fixtures.js'
 
@@ -66,6 +68,8 @@
   nowMs = 1000
   loses: (from: string, to: string) => boolean = () => false
   configuration: Configuration
+  /** Decides instead of the instances' own sharing of quotas. */
+  decide: ((instance: FleetInstance, limit: OrganisationLimit, cost: number) => boolean) | null = null
   readonly #random: () => number
   readonly #domains: number
 
@@ -95,7 +99,8 @@
 
   /** The instance that most others take for the coordinator of an organisation. */
   coordinatorOf (organisation: string): FleetInstance {
-    const ip = this.instances[0]?.table.rankedCoordinators(organisation, { canCoordinate: true, count: 1 })[0]
+    const { table } = this.instances[0] as FleetInstance
+    const [ip] = new RendezvousOrder(table.coordinatorCandidates(true)).first(organisation, 1)
     return this.instances.find((instance) => instance.ip === ip) as FleetInstance
   }
 
@@ -149,7 +154,7 @@
       const status = { ip, failureDomain: String(failureDomain), callers: `${ip}:1`, ready: this.nowMs >= readyMs, configurationVersion: 1, storeRevision: 1, reachesStore: true, processorShare: 1 }
       for (const other of this.instances) if (other.ip !== ip && !this.loses(ip, other.ip) && other.pausedUntilMs <= this.nowMs) other.table.recordHeartbeat({ ...status })
     }
-    if (this.nowMs % TICK_MS === 0) sharing.tick(applied)
+    if (this.nowMs % TICK_MS === 0 && this.decide === null) sharing.tick(applied)
   }
 
   #arrive (organisation: string, cost: number, perS: number): void {
@@ -161,10 +166,14 @@
     }
   }
 
-  async request ({ sharing, configuration: { organisations, version } }: FleetInstance, organisation: string, cost: number): Promise<QuotaAdmission> {
+  async request (instance: FleetInstance, organisation: string, cost: number): Promise<QuotaAdmission> {
+    const { sharing, configuration: { organisations, version } } = instance
     const quota = organisations.find(({ name }) => name === organisation)?.quota
     if (quota == null) throw new Error(`${organisation} has no quota`)
-    const admission = await sharing.client.acquire({ organisation, perS: quota.perS, burst: quota.burst, version }, cost)
+    const limit = { organisation, perS: quota.perS, burst: quota.burst, version }
+    const admission = this.decide === null
+      ? await sharing.client.acquire(limit, cost)
+      : { verdict: this.decide(instance, limit, cost) ? QuotaVerdict.Granted : QuotaVerdict.Refused, cost, waitMs: null, decidedBy: instance.ip }
     this.decisions.push({ ms: this.nowMs, organisation, cost, verdict: admission.verdict, waitMs: admission.waitMs })
     return admission
   }
