Judge quotas by the window, and pass the use on to the next coordinator

After a restart small organisations had no units for a model request.

Change: the coordinator keeps the use of the last window in slots, and lets an organisation use one second of its rate in advance besides the bucket. It tells the two next instances what was used and what is left, so that a hand-over neither spends twice nor refuses; an instance that was paused, and one whose share of the instances changes, adapts what it knows.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -121,7 +121,7 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
-    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: () => settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
+    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
     this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -40,8 +40,8 @@
   QuotaRequest = 'quota-request',
   /** Answers a request for units of a quota. */
   QuotaAnswer = 'quota-answer',
-  /** Tells the instances that may follow a coordinator how full its buckets are. */
-  QuotaFill = 'quota-fill'
+  /** Tells the instances that may follow a coordinator of the use of its organisations. */
+  QuotaUse = 'quota-use'
 }
 
 const instanceStatusSchema = z.object({
@@ -129,7 +129,7 @@
     version: z.number()
   }),
   z.object({ kind: z.literal(PeerDatagramKind.QuotaAnswer), id: z.string(), granted: z.boolean(), waitMs: z.number().nonnegative().nullable() }),
-  z.object({ kind: z.literal(PeerDatagramKind.QuotaFill), buckets: z.array(z.object({ organisation: z.string(), fill: z.number() })) }),
+  z.object({ kind: z.literal(PeerDatagramKind.QuotaUse), reports: z.array(z.object({ organisation: z.string(), fill: z.number(), profile: z.array(z.number().nonnegative()).max(64) })) }),
   z.object({
     kind: z.literal(PeerDatagramKind.Suspects),
     suspects: z.array(z.object({
--- a/src/gateway/quota-client.ts
+++ b/src/gateway/quota-client.ts
@@ -1,6 +1,6 @@
 import type { Log } from '../logs/log.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
-import type { LedgerDecision, OrganisationLimit, QuotaLedger } from './quota-ledger.js'
+import type { Ledger, LedgerDecision, OrganisationLimit } from './quota-ledger.js'
 
 /** Time without an answer after which the next request is sent, in milliseconds; an answer usually takes a few milliseconds. */
 const RESEND_MS = 40
@@ -49,13 +49,13 @@
   ip: string
   nowMs: () => number
   log: Log
-  windowS: () => number
+  windowS: number
   /** Instances that may decide for an organisation, the coordinator first. */
   coordinators: (organisation: string) => string[]
   /** The ledger in which this instance decides for others as the coordinator or a deputy. */
-  ledgerFor: (from: string, limit: OrganisationLimit) => QuotaLedger
+  ledgerFor: (from: string, limit: OrganisationLimit) => Ledger
   /** Decides when no other instance answers. */
-  ownLedger: QuotaLedger
+  ownLedger: Ledger
   /** Units of an organisation that this instance may use before they are counted. */
   uncountedUnits: (limit: OrganisationLimit) => number
   /** Called for an instance that has not answered a question. */
@@ -185,7 +185,7 @@
     const answer = await this.#ask(question)
     if (answer !== null) this.#admission(question, answer)
     // Uncounted units stay in use for a window, so that no window has more of them than its share.
-    else await new Promise((resolve) => { setTimeout(resolve, this.#options.windowS() * MS_PER_SECOND).unref() })
+    else await new Promise((resolve) => { setTimeout(resolve, this.#options.windowS * MS_PER_SECOND).unref() })
     use.unconfirmed -= question.cost
   }
 
--- a/src/gateway/quota-ledger.ts
+++ b/src/gateway/quota-ledger.ts
@@ -29,10 +29,10 @@
 
 interface QuotaLedgerOptions {
   nowMs: () => number
-  bounds: () => QuotaBounds
+  bounds: QuotaBounds
   /** Most units that accumulate while none are used. */
   capacity: (limit: OrganisationLimit) => number
-  /** Units with which a bucket starts that nobody has opened. */
+  /** Units with which a bucket starts. */
   startLevel: (limit: OrganisationLimit) => number
   /** Share of the quota's rate that this ledger gives out. */
   rateShare: (organisation: string) => number
@@ -40,8 +40,15 @@
   grantsOversized: boolean
 }
 
-/** Token buckets of organisations, kept by one instance. */
-export class QuotaLedger {
+/** Decides whether units of a quota are left. */
+export interface Ledger {
+  take: (limit: OrganisationLimit, cost: number) => LedgerDecision
+  charge: (limit: OrganisationLimit, cost: number) => LedgerDecision
+  level: (organisation: string) => number | null
+}
+
+/** Token buckets of organisations, from which an instance grants units while it can't ask the coordinator. */
+export class QuotaLedger implements Ledger {
   readonly #options: QuotaLedgerOptions
   readonly #buckets = new Map<string, Bucket>()
 
@@ -49,16 +56,6 @@
     this.#options = options
   }
 
-  /** Starts the bucket of an organisation anew. */
-  open (limit: OrganisationLimit, level: number): void {
-    this.#buckets.set(limit.organisation, { limit, level, updatedMs: this.#options.nowMs(), usedMs: this.#options.nowMs() })
-  }
-
-  /** Gives the bucket of an organisation up. */
-  close (organisation: string): void {
-    this.#buckets.delete(organisation)
-  }
-
   /** Takes the units that a request costs, if there are as many. */
   take (limit: OrganisationLimit, cost: number): LedgerDecision {
     const bucket = this.#used(limit)
@@ -80,13 +77,6 @@
     for (const { limit } of this.#buckets.values()) this.#current(limit)
   }
 
-  /** Organisations whose buckets were used lately, with the share of the capacity that is left. */
-  usedBuckets (sinceMs: number): Array<{ organisation: string, fill: number }> {
-    return [...this.#buckets.values()]
-      .filter(({ usedMs }) => usedMs >= sinceMs)
-      .map(({ limit, level }) => ({ organisation: limit.organisation, fill: Math.max(0, level / this.#options.capacity(limit)) }))
-  }
-
   /** Units that are left for an organisation; null if it has no bucket. */
   level (organisation: string): number | null {
     return this.#buckets.get(organisation)?.level ?? null
@@ -107,7 +97,7 @@
   #waitMs ({ limit, level }: Bucket, cost: number): number | null {
     const { bounds, capacity, grantsOversized, rateShare } = this.#options
     const full = capacity(limit)
-    if (cost > full && (!grantsOversized || cost > windowUnits(limit, bounds()))) return null
+    if (cost > full && (!grantsOversized || cost > windowUnits(limit, bounds))) return null
     const missing = Math.min(cost, full) - level
     if (missing <= 0) return 0
     const perS = limit.perS * rateShare(limit.organisation)
--- a/src/gateway/quota-sharing.ts
+++ b/src/gateway/quota-sharing.ts
@@ -3,30 +3,34 @@
 import type { Configuration, Organisation } from './configuration.js'
 import type { InstanceTable } from './instance-table.js'
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
-import { type QuotaBounds, toleranceOf, toleranceShare } from './quota-bounds.js'
+import { LEFT_OVER_SHARE, type QuotaBounds, toleranceOf, toleranceShare, windowUnits } from './quota-bounds.js'
 import { QuotaClient } from './quota-client.js'
-import { type OrganisationLimit, QuotaLedger } from './quota-ledger.js'
+import { type Ledger, type OrganisationLimit, QuotaLedger } from './quota-ledger.js'
+import { type UseReport, WindowLedger } from './window-ledger.js'
 
 /** Instances that may decide for an organisation when those before them in the order do not answer. */
 const RANKED_INSTANCES = 3
 
 /** Share of the rate that a deputy gives out if all instances ask it. The coordinator may still give out the whole rate to others. */
-const DEPUTY_RATE_SHARE = 0.25
+const DEPUTY_RATE_SHARE = 0.2
 
-/** Share of the rate that a deputy gives out if the coordinator's bucket was full: the organisation then used less than its rate. */
-const FULL_DEPUTY_RATE_SHARE = 0.4
+/** Share of the rate that a deputy gives out if no units had been used at the coordinator: the organisation then used less than its rate. */
+const FULL_DEPUTY_RATE_SHARE = 0.5
 
-/** Time between messages about the fill of buckets, in milliseconds. */
-const FILL_PERIOD_MS = 500
+/** Time between two ticks from which this process counts as having been paused, in milliseconds: other instances notice such a pause. */
+const MAX_TICK_GAP_MS = 1000
 
-/** Time after its last use for which the fill of a bucket is told, in milliseconds; it is full again by then or nearly so. */
-const FILL_USE_MS = 5000
+/** Time between messages about the use of organisations, in milliseconds. */
+const REPORT_PERIOD_MS = 500
 
-/** Number of buckets in one message, so that it fits one packet. */
-const BUCKETS_PER_MESSAGE = 12
+/** Time after its last request for which the use of an organisation is told, in milliseconds. */
+const REPORTED_USE_MS = 8000
 
-/** Age from which the fill that a coordinator told is not used, in milliseconds: the time in which its death is noticed, and some more. */
-const FILL_LIFETIME_MS = 5000
+/** Number of organisations in one message, so that it fits one packet. */
+const REPORTS_PER_MESSAGE = 12
+
+/** Age from which what a coordinator told is not used, in milliseconds: the time in which its death is noticed, and some more. */
+const REPORT_LIFETIME_MS = 5000
 
 /** Time for which a coordinator has left all probes of a deputy unanswered when the deputy gives out a part of the rate, in milliseconds: five probes, as some may be lost. */
 const UNANSWERED_PROBES_MS = 500
@@ -40,7 +44,7 @@
   ip: string
   nowMs: () => number
   log: Log
-  bounds: () => QuotaBounds
+  bounds: QuotaBounds
   instances: InstanceTable
   /** Whether this instance may coordinate organisations. */
   canCoordinate: () => boolean
@@ -51,46 +55,41 @@
 export class QuotaSharing {
   readonly client: QuotaClient
   readonly #options: QuotaSharingOptions
-  /** Buckets of the organisations that this instance coordinates. */
-  readonly #ledger: QuotaLedger
+  /** Use of the organisations that this instance coordinates. */
+  readonly #ledger: WindowLedger
   /** Buckets for instances that do not reach the coordinator of an organisation. */
   readonly #deputyLedger: QuotaLedger
   /** When each instance last asked this one as a deputy, in milliseconds. */
   readonly #askedMs = new Map<string, number>()
   /** Coordinators for which this instance acts as a deputy: since when probes have been unanswered, in milliseconds. */
   readonly #probedMs = new Map<string, { sinceMs: number, probe: PeerDatagram }>()
-  /** What the coordinators of other organisations have told of their buckets. */
-  readonly #fills = new Map<string, { fill: number, toldMs: number }>()
-  #fillsSentMs = -Infinity
+  /** What coordinators have told of the use of their organisations. */
+  readonly #reports = new Map<string, { report: UseReport, toldMs: number }>()
+  #reportsSentMs = -Infinity
   readonly #coordinators = new Map<string, { ip: string, sinceMs: number }>()
+  /** When this instance last opened a bucket with units, in milliseconds. */
+  readonly #openedMs = new Map<string, number>()
   /** Instances that may coordinate organisations, as of the last tick, and their order for each organisation. */
   #candidates: string[] = []
   #order = new RendezvousOrder([])
   readonly #ranked = new Map<string, string[]>()
   #followedConfiguration: Configuration | null = null
   #rateShare = 1
+  #tickedMs = Infinity
   #knownCount = 1
-  /** When this instance first had a configuration, in milliseconds. */
-  #configuredMs: number | null = null
+  readonly #startedMs: number
 
   constructor (options: QuotaSharingOptions) {
     const { ip, nowMs, log, bounds, instances, send } = options
     this.#options = options
-    const tolerance = (limit: OrganisationLimit): number => toleranceOf(limit, bounds())
-    this.#ledger = new QuotaLedger({
-      nowMs,
-      bounds,
-      capacity: (limit) => capacityOf(limit, bounds()),
-      startLevel: () => 0,
-      rateShare: () => this.#rateShare,
-      grantsOversized: true
-    })
-    const deputyCapacity = (limit: OrganisationLimit): number => tolerance(limit) * (toleranceShare.deputy + toleranceShare.leftOver)
+    this.#startedMs = nowMs()
+    const tolerance = (limit: OrganisationLimit): number => toleranceOf(limit, bounds)
+    this.#ledger = new WindowLedger({ nowMs, bounds, share: () => this.#rateShare })
     this.#deputyLedger = new QuotaLedger({
       nowMs,
       bounds,
-      capacity: deputyCapacity,
-      startLevel: (limit) => deputyCapacity(limit) - tolerance(limit) * toleranceShare.leftOver * (1 - this.#fillOf(limit.organisation)),
+      capacity: (limit) => tolerance(limit) * toleranceShare.deputy + windowUnits(limit, bounds) * LEFT_OVER_SHARE,
+      startLevel: (limit) => tolerance(limit) * toleranceShare.deputy + this.#leftOver(limit),
       rateShare: (organisation) => this.#deputyRateShare(organisation),
       grantsOversized: true
     })
@@ -99,7 +98,7 @@
       ip,
       nowMs,
       log,
-      windowS: () => bounds().windowS,
+      windowS: bounds.windowS,
       coordinators: (organisation) => this.#rankedFor(organisation),
       ledgerFor: (from, limit) => this.#ledgerFor(from, limit),
       ownLedger: new QuotaLedger({ nowMs, bounds, capacity: equalShare, startLevel: equalShare, rateShare: () => 1 / this.#knownCount, grantsOversized: false }),
@@ -112,14 +111,18 @@
 
   /** Follows the instances that coordinate the organisations, and tells the coordinators of uncounted uses. */
   tick (configuration: Configuration | null): void {
-    if (configuration !== null) this.#configuredMs ??= this.#options.nowMs()
     const limited = configuration?.organisations.filter(({ quota }) => quota !== null) ?? []
     if (limited.length === 0 && this.#coordinators.size === 0) return
     const { instances, nowMs } = this.#options
     this.#ledger.refresh()
+    // Others may have taken over while this process was paused.
+    if (nowMs() - this.#tickedMs > MAX_TICK_GAP_MS) this.#ledger.drain()
+    this.#tickedMs = nowMs()
     this.#deputyLedger.refresh()
     this.#knownCount = instances.knownCount()
-    this.#rateShare = rateShareOf(instances.servingCount() / this.#knownCount)
+    const rateShare = rateShareOf(instances.servingCount() / this.#knownCount)
+    this.#ledger.rescale(rateShare / this.#rateShare)
+    this.#rateShare = rateShare
     for (const [ip, askedMs] of this.#askedMs) if (askedMs < nowMs() - ASKER_MEMORY_MS) this.#askedMs.delete(ip)
     this.#sendProbes()
     if (this.#updateCandidates() || configuration !== this.#followedConfiguration) {
@@ -127,7 +130,7 @@
       for (const organisation of limited) this.#followCoordinator(organisation, configuration?.version ?? 0)
       this.#retain(new Set(limited.map(({ name }) => name)))
     }
-    this.#sendFills()
+    this.#sendReports()
     this.client.tellUses()
   }
 
@@ -165,7 +168,7 @@
     return true
   }
 
-  #ledgerFor (from: string, limit: OrganisationLimit): QuotaLedger {
+  #ledgerFor (from: string, limit: OrganisationLimit): Ledger {
     const { ip, nowMs } = this.#options
     const [coordinator = ip] = this.#rankedFor(limit.organisation)
     if (coordinator === ip) return this.#ledger
@@ -179,33 +182,35 @@
     const { nowMs } = this.#options
     const probed = this.#probedMs.get(this.#rankedFor(organisation)[0] ?? '')
     if (probed === undefined || nowMs() - probed.sinceMs < UNANSWERED_PROBES_MS) return 0
-    return Math.max(DEPUTY_RATE_SHARE * Math.min(1, this.#askedMs.size / this.#knownCount), FULL_DEPUTY_RATE_SHARE * this.#fillOf(organisation))
+    return Math.max(DEPUTY_RATE_SHARE * Math.min(1, this.#askedMs.size / this.#knownCount), FULL_DEPUTY_RATE_SHARE * Math.min(1, this.#reportOf(organisation)?.fill ?? 0))
   }
 
-  /** Share of the coordinator's bucket that was left when it last told of it; 0 if that is too long ago. */
-  #fillOf (organisation: string): number {
-    const told = this.#fills.get(organisation)
-    return told === undefined || this.#options.nowMs() - told.toldMs > FILL_LIFETIME_MS ? 0 : Math.min(1, told.fill)
+  #leftOver (limit: OrganisationLimit): number {
+    return windowUnits(limit, this.#options.bounds) * LEFT_OVER_SHARE * Math.min(1, this.#reportOf(limit.organisation)?.fill ?? 0)
   }
 
-  /** Tells the instances that may follow this one as a coordinator how full its buckets are. */
-  #sendFills (): void {
+  /** What the coordinator of an organisation last told of it; undefined if that is too long ago. */
+  #reportOf (organisation: string): UseReport | undefined {
+    const told = this.#reports.get(organisation)
+    return told === undefined || this.#options.nowMs() - told.toldMs > REPORT_LIFETIME_MS ? undefined : told.report
+  }
+
+  /** Tells the instances that may follow this one as a coordinator what the organisations have used. */
+  #sendReports (): void {
     const { ip, nowMs, send } = this.#options
-    if (nowMs() - this.#fillsSentMs < FILL_PERIOD_MS) return
-    this.#fillsSentMs = nowMs()
-    const bucketsByFollower = new Map<string, Array<{ organisation: string, fill: number }>>()
-    for (const bucket of this.#ledger.usedBuckets(nowMs() - FILL_USE_MS)) {
-      const [coordinator, ...followers] = this.#rankedFor(bucket.organisation)
-      if (coordinator !== ip) continue
-      for (const follower of followers) bucketsByFollower.set(follower, [...bucketsByFollower.get(follower) ?? [], bucket])
+    if (nowMs() - this.#reportsSentMs < REPORT_PERIOD_MS) return
+    this.#reportsSentMs = nowMs()
+    const reportsByFollower = new Map<string, UseReport[]>()
+    for (const report of this.#ledger.reports(nowMs() - REPORTED_USE_MS)) {
+      for (const follower of this.#rankedFor(report.organisation)) if (follower !== ip) reportsByFollower.set(follower, [...reportsByFollower.get(follower) ?? [], report])
     }
-    for (const [follower, buckets] of bucketsByFollower) {
-      for (let start = 0; start < buckets.length; start += BUCKETS_PER_MESSAGE) send([follower], { kind: PeerDatagramKind.QuotaFill, buckets: buckets.slice(start, start + BUCKETS_PER_MESSAGE) })
+    for (const [follower, reports] of reportsByFollower) {
+      for (let start = 0; start < reports.length; start += REPORTS_PER_MESSAGE) send([follower], { kind: PeerDatagramKind.QuotaUse, reports: reports.slice(start, start + REPORTS_PER_MESSAGE) })
     }
   }
 
-  recordFills (buckets: Array<{ organisation: string, fill: number }>): void {
-    for (const { organisation, fill } of buckets) this.#fills.set(organisation, { fill, toldMs: this.#options.nowMs() })
+  recordReports (reports: UseReport[]): void {
+    for (const report of reports) this.#reports.set(report.organisation, { report, toldMs: this.#options.nowMs() })
   }
 
   #sendProbes (): void {
@@ -223,31 +228,28 @@
     log.info('quota.coordinator-changed', { organisation: name, coordinates: coordinator === ip, instances: instances.servingCount() })
     if (coordinator !== ip) return this.#ledger.close(name)
     const limit = { organisation: name, perS: quota.perS, burst: quota.burst, version }
-    this.#ledger.open(limit, this.#startLevel(limit, previous?.sinceMs))
+    this.#ledger.open(limit, { level: this.#startLevel(limit, previous?.sinceMs), profile: this.#reportOf(name)?.profile ?? [] })
   }
 
   /** Units with which the bucket of an organisation starts whose last coordinator has been known since the given time. */
   #startLevel (limit: OrganisationLimit, sinceMs: number | undefined): number {
-    const { nowMs, bounds } = this.#options
-    const windowStartMs = nowMs() - bounds().windowS * MS_PER_SECOND
-    // A second hand-over in the same window starts empty: the window has room for one. An instance that has just started can't know whether there was one.
-    if ((sinceMs ?? this.#configuredMs ?? Infinity) > windowStartMs) return 0
+    const { nowMs, bounds, canCoordinate } = this.#options
+    const windowStartMs = nowMs() - bounds.windowS * MS_PER_SECOND
+    // While instances start, each may take itself for the coordinator; and none starts with units twice in a window.
+    const openedMs = this.#openedMs.get(limit.organisation) ?? -Infinity
+    if (!canCoordinate() || openedMs > windowStartMs) return 0
+    this.#openedMs.set(limit.organisation, nowMs())
     // The organisation or its quota is new in this version of the configuration.
-    if (sinceMs === undefined) return capacityOf(limit, bounds())
-    return toleranceOf(limit, bounds()) * (toleranceShare.handOver + toleranceShare.leftOver * this.#fillOf(limit.organisation))
+    if (sinceMs === undefined && this.#startedMs <= windowStartMs) return windowUnits(limit, bounds)
+    return toleranceOf(limit, bounds) * toleranceShare.handOver + this.#leftOver(limit)
   }
 
   #retain (organisations: Set<string>): void {
-    for (const table of [this.#coordinators, this.#fills]) for (const organisation of table.keys()) if (!organisations.has(organisation)) table.delete(organisation)
-    for (const table of [this.#ledger, this.#deputyLedger, this.client]) table.retain(organisations)
+    for (const table of [this.#coordinators, this.#reports, this.#openedMs]) for (const organisation of table.keys()) if (!organisations.has(organisation)) table.delete(organisation)
+    for (const table of [this.#deputyLedger, this.client]) table.retain(organisations)
   }
 }
 
-/** Most units that accumulate at the coordinator of an organisation. */
-function capacityOf (limit: OrganisationLimit, bounds: QuotaBounds): number {
-  return limit.burst + toleranceOf(limit, bounds) * toleranceShare.burst
-}
-
 /** Share of the rate that a coordinator gives out which sees a share of the known instances serve: groups that are cut off from each other, and instances that start and each take themselves for the coordinator, never give out more than the rate together. */
 function rateShareOf (servingShare: number): number {
   return servingShare > 0.5 ? (1 + servingShare) / 2 : servingShare / 2
@@ -257,6 +259,6 @@
 
 const handlers: Handlers = {
   [PeerDatagramKind.QuotaRequest]: (sharing, from, message) => sharing.client.answer(from, message),
-  [PeerDatagramKind.QuotaFill]: (sharing, _from, { buckets }) => sharing.recordFills(buckets),
+  [PeerDatagramKind.QuotaUse]: (sharing, _from, { reports }) => sharing.recordReports(reports),
   [PeerDatagramKind.QuotaAnswer]: (sharing, from, message) => sharing.client.handleAnswer(from, message)
 }
