Give the places of plain servers out from one coordinator, and say truly what was not sent

Cause: with 84 instances before 3 servers of 6 places, each instance sees two requests a second of a plain service, so its own figures say nothing of the servers' load.

Change: where a service has fewer places than instances, a coordinator gives its places out one by one and refuses at once what can't be served in time. An instance without an answer chooses the better of two servers itself. A request whose connection was still being established, or whose only write failed, is refused as not run. New connections settle for 3 ms while a server resets them. Idle and used connections stay within an equal share of the server's limit. Leaving the failure domain is decided in one module.

--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -7,6 +7,8 @@
 import type { LimitClient } from './limit-client.js'
 import type { ServerLimits } from './server-limits.js'
 import { type ResponseHead, isFailure } from './http-exchange.js'
+import type { DomainCrossing } from './domain-crossing.js'
+import type { PlaceClient } from './place-client.js'
 import type { PendingRequest } from './pending-request.js'
 import { GatewayRefusal } from './refusal.js'
 import type { RetryBudget } from './retry-budget.js'
@@ -27,10 +29,12 @@
   retryBudget: RetryBudget
   failureDomain: string
   log: Log
-  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends' | 'pausedSends'>
+  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends' | 'pausedSends' | 'crossings' | 'crossingBytes'>
   limits: ServerLimits
   limitClient: LimitClient
   pauses: ServerPauses
+  places: PlaceClient
+  crossing: DomainCrossing
   nowMs: () => number
   random: () => number
 }
@@ -51,8 +55,19 @@
   const { backendClient, health } = context
   const startedMs = context.nowMs()
   health.recordStart(options.backend)
-  const exchange = pending.cancelOnEnd(backendClient.send({ ...options, maySend: () => maySend(context, pending, options) }))
+  let written = false
+  const exchange = pending.cancelOnEnd(backendClient.send({
+    ...options,
+    maySend: () => {
+      if (!maySend(context, pending, options)) return false
+      countCrossing(context, options)
+      written = options.prefillOnly !== true
+      if (written) pending.openSends += 1
+      return true
+    }
+  }))
   const head = await exchange.head
+  if (written) pending.openSends -= 1
   health.recordEnd(options.backend)
   const result = resultOfHead(context, options, head)
   if (!isFailure(head)) observeLimit(context, options.backend, head, result.outcome, startedMs)
@@ -114,6 +129,13 @@
   return false
 }
 
+function countCrossing ({ failureDomain, metrics }: ForwardingContext, { backend, request }: SendOptions): void {
+  if (backend.failureDomain === failureDomain) return
+  const labels = { stage: backend.stage, to: backend.failureDomain }
+  metrics.crossings.inc(labels)
+  metrics.crossingBytes.inc(labels, request.body.length)
+}
+
 /** Records a failure of the server that had not finished the request when its time ran out. A caller's disconnect is not the server's fault. */
 export function chargeAtTimeout ({ health }: ForwardingContext, pending: PendingRequest, backend: BackendServer): void {
   if (pending.timedOut) health.recordFailure(backend, ExchangeOutcome.TimedOut)
@@ -167,9 +189,9 @@
   else log.debug('prompt.free-withheld', { server: kvCache.server.id })
 }
 
-/** Refuses a request that has to end now. If `sending` is true, a server has not responded completely yet and may have run the request. */
+/** Refuses a request that has to end now. If `sending` is true, a server has not responded completely yet; it may have run the request unless the connection to it is still being established. */
 export function refuseAtTimeout (pending: PendingRequest, sending: boolean, refusalIfNotRun: GatewayRefusal): void {
-  const mayHaveRun = pending.mayHaveRun || sending
+  const mayHaveRun = pending.mayHaveRun || (sending && pending.openSends > 0)
   if (pending.remainingMs() <= 0) pending.refuse(mayHaveRun ? GatewayRefusal.TimedOut : GatewayRefusal.TimedOutBeforeRun)
   else if (mayHaveRun) pending.refuse(GatewayRefusal.OutcomeUnknown)
   else pending.refuse(refusalIfNotRun, RETRY_ELSEWHERE_MS)
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -28,11 +28,15 @@
   readonly limitedServers: Gauge
   readonly leavingServers: Gauge
   readonly pausedSends: Counter
+  readonly crossings: Counter<'stage' | 'to'>
+  readonly crossingBytes: Counter<'stage' | 'to'>
+  readonly waitingForPlaces: Gauge
+  readonly takenPlaces: Gauge
   readonly pausedServers: Gauge
   readonly bufferedBytes: Gauge
   readonly evictedExchanges: Counter
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, waitingForPlaces?: () => number, takenPlaces?: () => number, bufferedBytes?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -46,6 +50,10 @@
     this.limitedServers = computedGauge({ name: 'daisybarrow_gateway_limited_servers', help: 'Servers that limit the number of their requests', registers, value: () => options.limitedServers?.() ?? 0 })
     this.leavingServers = computedGauge({ name: 'daisybarrow_gateway_leaving_servers', help: 'Servers that have said in their answers that they leave', registers, value: () => options.leavingServers?.() ?? 0 })
     this.pausedSends = new Counter({ name: 'daisybarrow_gateway_paused_sends_total', help: 'Sends withheld because the server had turned this instance away for a time', registers })
+    this.crossings = new Counter({ name: 'daisybarrow_gateway_crossings_total', help: 'Requests sent to another failure domain by stage of the server and its domain', labelNames: ['stage', 'to'], registers })
+    this.crossingBytes = new Counter({ name: 'daisybarrow_gateway_crossing_bytes_total', help: 'Bytes of request bodies sent to another failure domain by stage of the server and its domain', labelNames: ['stage', 'to'], registers })
+    this.waitingForPlaces = computedGauge({ name: 'daisybarrow_gateway_requests_waiting_for_places', help: 'Requests of all instances that wait here for a place at a plain server', registers, value: () => options.waitingForPlaces?.() ?? 0 })
+    this.takenPlaces = computedGauge({ name: 'daisybarrow_gateway_taken_places', help: 'Places at plain servers that this instance has given out and that have not been returned', registers, value: () => options.takenPlaces?.() ?? 0 })
     this.pausedServers = computedGauge({ name: 'daisybarrow_gateway_paused_servers', help: 'Servers that have turned this instance away for a time', registers, value: () => options.pausedServers?.() ?? 0 })
     this.bufferedBytes = computedGauge({ name: 'daisybarrow_gateway_buffered_bytes', help: 'Bytes that all exchanges keep in buffers', registers, value: () => options.bufferedBytes?.() ?? 0 })
     this.evictedExchanges = new Counter({ name: 'daisybarrow_gateway_evicted_exchanges_total', help: 'Exchanges ended because the buffers of all together exceeded their limit', registers })
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -1,4 +1,5 @@
 import * as z from 'zod'
+import { DEFAULT_CROSSING_PRICE } from './domain-crossing.js'
 
 const address = z.string().regex(/^[^:]+:\d+$/).describe('IP number and port')
 
@@ -28,6 +29,10 @@
   drainMs: z.number().positive().default(2000).describe('Time for which a server takes requests after it has said that it leaves, in milliseconds'),
   graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
   addressLifetimeS: z.number().positive().default(2).describe('How long callers may keep an answer of the directory, in seconds'),
+  crossing: z.object({
+    roundTripMs: z.number().nonnegative().default(DEFAULT_CROSSING_PRICE.roundTripMs).describe('Additional time of an exchange with a server in another failure domain, in milliseconds'),
+    msPerMegabyte: z.number().nonnegative().default(DEFAULT_CROSSING_PRICE.msPerMegabyte).describe('Time that callers have to gain for each megabyte sent to another failure domain, in milliseconds')
+  }).prefault({}).describe('What it costs to send work to another failure domain'),
   repeats: z.object({
     ratio: z.number().nonnegative().describe('Retries allowed for each request of a service'),
     slack: z.number().nonnegative().describe('Retries allowed to all instances together in one window, in addition to the ratio'),
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -15,11 +15,13 @@
 import { type PeerDatagram, PeerDatagramKind } from './peer-datagram.js'
 import type { PeerSnapshot } from './peer-snapshot.js'
 import { PendingRequest } from './pending-request.js'
+import { PlaceSharing } from './place-sharing.js'
 import { schedulerHandlers, PlacementClient } from './placement-client.js'
 import { MEMORY_FILL_SHARE, PlacementScheduler } from './placement-scheduler.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { GatewayRefusal, refusalStatus } from './refusal.js'
-import { PromptQuarantine, type SuspectReport } from './prompt-quarantine.js'
+import type { PromptQuarantine } from './prompt-quarantine.js'
+import { QuarantineSharing } from './quarantine-sharing.js'
 import { RetryBudget } from './retry-budget.js'
 import { RoleRebalancer } from './role-rebalancer.js'
 import { chooseService, longestWaitMs, RouteTable } from './route-table.js'
@@ -35,7 +37,6 @@
 import { LimitSharing } from './limit-sharing.js'
 import { StoreRelay } from './store-relay.js'
 import { StoreView } from './store-view.js'
-import { ReportExchange } from './report-exchange.js'
 
 /** Minimum time after the start of an instance for which it is not ready, in milliseconds; a large fleet adds the propagation time of liveness entries. Before the instance has received the heartbeats of the others, it would consider itself the coordinator. */
 const STARTUP_LISTEN_MS = 700
@@ -46,9 +47,6 @@
 /** Retry delay given to callers while no instance is known to have a configuration, in milliseconds; a random addition of up to the same amount keeps them from returning all at once. */
 const STARTUP_RETRY_AFTER_MS = 700
 
-/** Number of suspected prompt parts in one message, so that it fits one packet. */
-const SUSPECTS_PER_MESSAGE = 4
-
 interface GatewayOptions {
   settings: GatewaySettings
   backendClient: BackendClient
@@ -74,10 +72,10 @@
   readonly orderTokenIssuer: OrderTokenIssuer
   readonly #placementClient: PlacementClient
   readonly #forwardingContext: StreamForwardingContext
-  readonly quarantine: PromptQuarantine
-  readonly #suspectExchange: ReportExchange<SuspectReport>
+  readonly #quarantineSharing: QuarantineSharing
   readonly limitSharing: LimitSharing
   readonly leavingSharing: LeavingSharing
+  readonly placeSharing: PlaceSharing
   /** Servers that have turned this instance away for a time. */
   readonly pauses: ServerPauses
   readonly #pendingRequests = new Set<PendingRequest>()
@@ -114,6 +112,7 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
+    this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
@@ -137,8 +136,7 @@
       log,
       nowMs
     })
-    this.quarantine = new PromptQuarantine({ nowMs, log, onChange: () => this.#suspectExchange.markChanged() })
-    this.#suspectExchange = this.#createSuspectExchange()
+    this.#quarantineSharing = new QuarantineSharing({ nowMs, log, send: options.send })
     this.#forwardingContext = {
       backends: this.backends,
       backendClient: options.backendClient,
@@ -152,6 +150,8 @@
       limits: this.limitSharing.limits,
       limitClient: this.limitSharing.client,
       pauses: this.pauses,
+      places: this.placeSharing.client,
+      crossing: this.placeSharing.crossing,
       placer: this.#placementClient,
       quarantine: this.quarantine
     }
@@ -195,14 +195,8 @@
     })
   }
 
-  #createSuspectExchange (): ReportExchange<SuspectReport> {
-    return new ReportExchange({
-      reports: () => this.quarantine.reports(),
-      reminders: () => this.quarantine.activeReports(),
-      perMessage: SUSPECTS_PER_MESSAGE,
-      message: (suspects) => ({ kind: PeerDatagramKind.Suspects, suspects }),
-      send: this.#options.send
-    })
+  get quarantine (): PromptQuarantine {
+    return this.#quarantineSharing.quarantine
   }
 
   get ready (): boolean {
@@ -215,7 +209,7 @@
   }
 
   get waitingForPlacement (): number {
-    return this.#scheduler.waitingCount + this.#localScheduler.waitingCount
+    return this.#scheduler.waitingCount + this.#localScheduler.waitingCount + this.placeSharing.scheduler.waitingCount
   }
 
   get inFlight (): number {
@@ -306,7 +300,7 @@
   tick (): void {
     this.backends.expire()
     this.#trackConfigurationLag()
-    this.#suspectExchange.sendChanges(this.instances.knownAddresses())
+    this.#quarantineSharing.sendChanges(this.instances.knownAddresses())
     this.limitSharing.sendChanges(this.instances.knownAddresses())
     this.#coordinatedServices.update(this.#configuration)
     this.storeRelay.tick()
@@ -314,6 +308,7 @@
     if (this.#storeView.reachesStore && !this.#stopping) this.#rebalanceRoles()
     this.#scheduler.tick()
     this.#localScheduler.tick()
+    this.placeSharing.tick()
   }
 
   sendReports (): void {
@@ -323,7 +318,7 @@
   handleDatagram (from: string, message: PeerDatagram): void {
     if (message.kind === PeerDatagramKind.Heartbeat) return this.heartbeats.receive(from, message)
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message)) return
+    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message) || this.placeSharing.handleDatagram(from, message)) return
     if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
@@ -440,6 +435,7 @@
     const incarnations = new Set(all.map(incarnationOf))
     this.#health.retain(incarnations)
     this.limitSharing.retain(incarnations)
+    this.placeSharing.scheduler.retain(incarnations)
     this.#scheduler.retain(all)
     this.#localScheduler.retain(all)
   }
@@ -450,7 +446,7 @@
   }
 
   #sendReminders (ips: string[]): void {
-    this.#suspectExchange.sendReminder(ips)
+    this.#quarantineSharing.sendReminder(ips)
     this.limitSharing.sendReminder(ips)
     this.leavingSharing.sendReminder(ips)
   }
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -1,4 +1,4 @@
-import { Agent, type ClientRequestArgs, type IncomingMessage, request as httpRequest, type ClientRequest } from 'node:http'
+import { Agent, type AgentOptions, type ClientRequestArgs, type IncomingMessage, request as httpRequest, type ClientRequest } from 'node:http'
 import { connect, type NetConnectOpts, type Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import { watchReset } from '../http/connection-reset.js'
@@ -6,6 +6,7 @@
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
 import { ChunkSizes } from './chunk-sizes.js'
+import { type ConnectionShare, UNLIMITED_SHARE } from './connection-shares.js'
 import { ExchangeOutcome } from './exchange-outcome.js'
 
 /** Longest wait for a new connection, in milliseconds. Connecting usually takes about 1 ms, and TCP resends a lost SYN only after 1 s. */
@@ -17,8 +18,16 @@
 /** Time before the end of the server's advertised keep-alive timeout from which a connection is not reused, in milliseconds. */
 const KEEP_ALIVE_MARGIN_MS = 600
 
-/** Largest number of idle connections to one server. */
-const MAX_IDLE_CONNECTIONS = 4
+/** Time between the establishment of a connection and the first request on it, in milliseconds, while the server resets new connections: it does so when it has too many, as soon as it accepts them. */
+const SETTLE_MS = 3
+
+/** Time after a reset of a new connection for which further connections settle before they are used, in milliseconds. */
+const EARLY_RESET_MEMORY_MS = 10_000
+
+/** Largest request whose failed write proves that nothing was sent, in bytes: the operating system takes a request of this size at once or not at all. */
+const MAX_SINGLE_WRITE_BYTES = 4096
+
+const CONNECTION_RESET = 'ECONNRESET'
 
 /** Largest number of interim responses (1xx) before the response; servers send a few at most. Each one costs as much as a head, so one that does not stop would keep the process busy until the head timeout. */
 const MAX_INTERIM_RESPONSES = 16
@@ -77,22 +86,29 @@
   return 'outcome' in head
 }
 
+interface HttpExchangeClientOptions {
+  /** Connections that this instance may hold to the server at an address. */
+  shareOf?: (address: string) => ConnectionShare
+}
+
 /** HTTP client with one connection pool for each server address. */
 export class HttpExchangeClient {
   readonly #agents = new Map<string, IdleCheckingAgent>()
   readonly #ownConnections = new ConnectingAgent({ keepAlive: false })
+  readonly #shareOf: (address: string) => ConnectionShare
+
+  constructor ({ shareOf = () => UNLIMITED_SHARE }: HttpExchangeClientOptions = {}) {
+    this.#shareOf = shareOf
+  }
 
   start (request: ExchangeRequest): Exchange {
-    const [host, port] = request.address.split(':')
-    const clientRequest = httpRequest({
-      host,
-      port: Number(port),
-      method: request.method,
-      path: request.target,
-      headers: request.headers,
-      agent: request.ownConnection ? this.#ownConnections : this.#agentOf(request.address)
-    })
-    const head = awaitHead(clientRequest, request)
+    const { address, ownConnection } = request
+    const pool = this.#agentOf(address)
+    if (this.#inUse(address) >= this.#shareOf(address).total) return unsentExchange('the share of connections to the server is used up')
+    const agent = ownConnection ? this.#ownConnections : pool
+    const [host, port] = address.split(':')
+    const clientRequest = httpRequest({ host, port: Number(port), method: request.method, path: request.target, headers: request.headers, agent })
+    const head = awaitHead(clientRequest, request, () => agent.recordEarlyReset(address))
     clientRequest.end(request.body.length > 0 ? request.body : undefined)
     return { head, cancel: () => { clientRequest.destroy() } }
   }
@@ -109,34 +125,75 @@
   #agentOf (address: string): IdleCheckingAgent {
     const existing = this.#agents.get(address)
     if (existing !== undefined) return existing
-    const agent = new IdleCheckingAgent({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, scheduling: 'lifo' })
+    const agent = new IdleCheckingAgent({ keepAlive: true, scheduling: 'lifo' }, () => this.#shareOf(address).idle)
     this.#agents.set(address, agent)
     return agent
   }
+
+  #inUse (address: string): number {
+    return this.#agentOf(address).inUse(address) + this.#ownConnections.inUse(address)
+  }
+}
+
+function unsentExchange (detail: string): Exchange {
+  return { head: Promise.resolve({ outcome: ExchangeOutcome.NotSent, detail }), cancel: () => {} }
 }
 
 /** An agent that hands over a connection only once it is established, so that nothing is written before. */
 class ConnectingAgent extends Agent {
+  /** When a new connection to each address was last reset, in milliseconds. */
+  readonly #earlyResetsMs = new Map<string, number>()
+
+  /** Records that the server at an address has reset a connection on which it had answered nothing. */
+  recordEarlyReset (address: string): void {
+    const nowMs = performance.now()
+    for (const [other, resetMs] of this.#earlyResetsMs) if (nowMs - resetMs > EARLY_RESET_MEMORY_MS) this.#earlyResetsMs.delete(other)
+    this.#earlyResetsMs.set(address, nowMs)
+  }
+
+  /** Number of connections to an address that carry a request. */
+  inUse (address: string): number {
+    const [host, port] = address.split(':')
+    return this.sockets[this.getName({ host, port: Number(port) })]?.length ?? 0
+  }
+
+  #settleMs ({ host, port }: ClientRequestArgs): number {
+    const resetMs = this.#earlyResetsMs.get(`${host}:${port}`) ?? -Infinity
+    return performance.now() - resetMs < EARLY_RESET_MEMORY_MS ? SETTLE_MS : 0
+  }
+
   override createConnection (options: ClientRequestArgs, onCreated?: (error: Error | null, socket: Duplex) => void): undefined {
     const socket = connect(options as NetConnectOpts)
-    const timer = setTimeout(() => socket.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS)
+    let timer = setTimeout(() => socket.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS)
     const onEnd = (error: Error): void => {
       clearTimeout(timer)
       onCreated?.(error, socket)
     }
+    const handOver = (): void => {
+      if (socket.destroyed) return onEnd(new Error('connection closed before its first request'))
+      socket.removeListener('error', onEnd)
+      onCreated?.(null, socket)
+    }
     socket.once('error', onEnd)
     socket.once('connect', () => {
       clearTimeout(timer)
-      socket.removeListener('error', onEnd)
-      onCreated?.(null, socket)
+      const settleMs = this.#settleMs(options)
+      if (settleMs === 0) handOver()
+      else timer = setTimeout(handOver, settleMs)
     })
   }
 }
 
 /** An agent that closes an idle connection when bytes arrive on it, since they would be taken for the response to the next request. */
 class IdleCheckingAgent extends ConnectingAgent {
+  readonly #maxIdle: () => number
   #retired = false
 
+  constructor (options: AgentOptions, maxIdle: () => number) {
+    super(options)
+    this.#maxIdle = maxIdle
+  }
+
   /** Closes the idle connections, and each of the others when its request ends. `destroy()` would also cut the requests in flight. */
   retire (): void {
     this.#retired = true
@@ -144,7 +201,7 @@
   }
 
   override keepSocketAlive (socket: Socket): boolean {
-    if (this.#retired) return false
+    if (this.#retired || Object.values(this.freeSockets).flat().length >= this.#maxIdle()) return false
     const maxIdleMs = maxIdleMsOf(socket)
     if (maxIdleMs <= 0) return false
     socket.setKeepAlive(true)
@@ -173,7 +230,8 @@
   return keepAliveS === undefined ? MAX_IDLE_MS : Math.min(MAX_IDLE_MS, Number(keepAliveS) * 1000 - KEEP_ALIVE_MARGIN_MS)
 }
 
-function awaitHead (request: ClientRequest, { headTimeoutMs: timeoutMs, maySend }: ExchangeRequest): Promise<ResponseHead | ExchangeFailure> {
+function awaitHead (request: ClientRequest, { headTimeoutMs: timeoutMs, maySend, headers, body }: ExchangeRequest, onEarlyReset: () => void): Promise<ResponseHead | ExchangeFailure> {
+  const requestBytes = body.length + headers.join('\r\n').length
   return new Promise((resolve) => {
     let connected = false
     const reset = watchReset(request)
@@ -211,7 +269,11 @@
       wasReset: () => reset.occurred,
       isComplete: () => message.complete && !reset.occurred
     }))
-    request.on('error', (error) => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: error.message, reusedConnection: request.reusedSocket }))
+    request.on('error', (error: NodeJS.ErrnoException) => {
+      if (error.code === CONNECTION_RESET && !request.reusedSocket) onEarlyReset()
+      const unsent = !connected || (error.syscall === 'write' && requestBytes <= MAX_SINGLE_WRITE_BYTES)
+      settle({ outcome: unsent ? ExchangeOutcome.NotSent : ExchangeOutcome.Broken, detail: error.message, reusedConnection: request.reusedSocket })
+    })
     request.on('close', () => settle({ outcome: connected ? ExchangeOutcome.Broken : ExchangeOutcome.NotSent, detail: 'connection closed', reusedConnection: request.reusedSocket }))
   })
 }
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -1,6 +1,7 @@
 import { decode, encode } from 'cbor-x'
 import * as z from 'zod'
 import { RunnerRole, ServerState } from './backend.js'
+import { ExchangeOutcome } from './exchange-outcome.js'
 import { livenessDigestSchema } from './liveness-digest.js'
 import { PlacementRefusal } from './placement.js'
 import { StoreChangeKind } from './platform-store.js'
@@ -35,7 +36,17 @@
   /** Requests a permit for one send to a server with a limit from the instance that keeps it. */
   Admit = 'admit',
   /** Answers a request for a permit. */
-  Admitted = 'admitted'
+  Admitted = 'admitted',
+  /** Requests a place at a server of a plain service from the coordinator of its group. */
+  TakePlace = 'take-place',
+  /** Answers that a request for a place waits. */
+  PlaceWaits = 'place-waits',
+  /** Answers a request for a place with the server. */
+  PlaceTaken = 'place-taken',
+  /** Answers a request for a place with a refusal. */
+  PlaceRefused = 'place-refused',
+  /** Returns a place, or withdraws a request for one. */
+  ReturnPlace = 'return-place'
 }
 
 const instanceStatusSchema = z.object({
@@ -111,6 +122,23 @@
     graceLeftMs: z.number().nonnegative()
   }),
   z.object({ kind: z.literal(PeerDatagramKind.Admit), id: z.string(), server: z.string(), report: limitReportSchema }),
+  z.object({
+    kind: z.literal(PeerDatagramKind.TakePlace),
+    request: z.object({
+      id: z.string(),
+      service: z.string(),
+      group: z.int().nonnegative(),
+      failureDomain: z.string(),
+      objectiveLeftMs: z.number(),
+      patienceMs: z.number(),
+      bytes: z.number().nonnegative(),
+      excluded: z.array(z.string())
+    })
+  }),
+  z.object({ kind: z.literal(PeerDatagramKind.PlaceWaits), id: z.string() }),
+  z.object({ kind: z.literal(PeerDatagramKind.PlaceTaken), id: z.string(), server: z.string() }),
+  z.object({ kind: z.literal(PeerDatagramKind.PlaceRefused), id: z.string(), retryAfterMs: z.number() }),
+  z.object({ kind: z.literal(PeerDatagramKind.ReturnPlace), id: z.string(), use: z.object({ outcome: z.enum(ExchangeOutcome), durationMs: z.number() }).nullable() }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
   z.object({
     kind: z.literal(PeerDatagramKind.Suspects),
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -24,6 +24,8 @@
   readonly responder: Responder
   /** True once a server may have run the request; a prefill alone does not count. */
   mayHaveRun = false
+  /** Number of sends of which no outcome is known although the request may have been written; prefills do not count. */
+  openSends = 0
   /** Ids of the servers to which the request was sent, for the route's limit of attempts; prefills do not count. */
   readonly sentTo = new Set<string>()
   readonly #nowMs: () => number
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -4,6 +4,8 @@
 import { chargeAtTimeout, sendWaitMs, refuseWithheld, sendToServer, type ForwardingContext, logFailedSend, refuseAtTimeout, refuseUnanswered, type SendResult } from './forwarding.js'
 import { type ResponseHead, readBody } from './http-exchange.js'
 import type { PendingRequest } from './pending-request.js'
+import type { Place } from './place-client.js'
+import type { PlaceUse } from './plain-place.js'
 import { GatewayRefusal } from './refusal.js'
 
 /** Largest response body of a plain service that is buffered, in bytes; typical bodies have a few kilobytes. */
@@ -30,6 +32,9 @@
 /** Share of the retry budget that is kept for requests without a response when a 5xx response of a sound server is retried. */
 const RESERVED_BUDGET_SHARE = 0.5
 
+/** Time from the end of a response at the server until it has reached the caller, in milliseconds. */
+const RETURN_TRANSIT_MS = 10
+
 interface CompleteResponse {
   head: ResponseHead
   body: ByteCollector
@@ -45,6 +50,8 @@
   RetryBudget = 'retry-budget',
   /** The limits of the other servers are used up, or they have turned this instance away. */
   Withheld = 'withheld',
+  /** The servers can't take the request in the time that it has. */
+  Full = 'full',
   /** No other server is ready. */
   NoServer = 'no-server'
 }
@@ -75,6 +82,10 @@
   #lastObstacle: SendObstacle | null = null
   /** The first 5xx response; it is sent to the caller if no other server succeeds. */
   #failedResponse: CompleteResponse | null = null
+  /** Places of the servers that the request is sent to, by server. */
+  readonly #places = new Map<string, Place>()
+  /** When a refused caller should return, as the coordinator of the places says, in milliseconds. */
+  #fullForMs: number | null = null
   /** Time until one of the servers may take another request, in milliseconds. */
   #shortestWaitMs = Infinity
   #onFault: (error: unknown) => void = () => {}
@@ -107,11 +118,19 @@
     this.#seeking = true
     const found = this.#obstacle() ?? await this.#findServer()
     this.#seeking = false
-    if (this.#pending.ended) return
-    if (this.#answering.size > 0) return this.#watchSilence()
-    if (typeof found === 'string') return this.#giveUpSeeking(found)
+    if (typeof found === 'string') {
+      if (this.#pending.ended) return
+      return this.#answering.size > 0 ? this.#watchSilence() : this.#giveUpSeeking(found)
+    }
+    if (this.#pending.ended || this.#answering.size > 0) {
+      this.#returnPlace(found, null)
+      return this.#pending.ended ? undefined : this.#watchSilence()
+    }
     const obstacle = this.#takeSend()
-    if (obstacle !== null) return this.#giveUpSeeking(obstacle)
+    if (obstacle !== null) {
+      this.#returnPlace(found, null)
+      return this.#giveUpSeeking(obstacle)
+    }
     this.#send(found).catch(this.#onFault)
   }
 
@@ -134,22 +153,61 @@
   async #findServer (): Promise<BackendServer | SendObstacle> {
     const withheld = new Set<string>()
     for (;;) {
-      const backend = this.#chooseBackend(withheld)
+      const backend = await this.#takePlace(withheld)
+      if (backend === SendObstacle.Full) return SendObstacle.Full
       if (backend === undefined) return withheld.size > 0 ? SendObstacle.Withheld : SendObstacle.NoServer
-      const waitMs = await sendWaitMs(this.#context, this.#pending, backend)
+      const waitMs = this.#context.backends.accepts(backend) ? await sendWaitMs(this.#context, this.#pending, backend) : Infinity
       if (waitMs === null || this.#pending.ended) return backend
+      this.#returnPlace(backend, null)
       this.#shortestWaitMs = Math.min(this.#shortestWaitMs, waitMs)
       withheld.add(backend.id)
     }
   }
 
-  #chooseBackend (withheld: Set<string>): BackendServer | undefined {
-    const { backends, health, failureDomain, random } = this.#context
-    const candidates = backends.ready(this.#pending.service, RunnerRole.None).filter(({ id }) => !this.#triedServers.has(id) && !withheld.has(id))
-    // The random part of less than 1 ms spreads requests over servers of equal cost.
-    return candidates
-      .map((backend) => ({ backend, cost: health.cost(backend, failureDomain) + random() }))
-      .sort((a, b) => a.cost - b.cost)[0]?.backend
+  /** Takes a place at a server from the coordinator, or chooses a server if none decides. */
+  async #takePlace (withheld: Set<string>): Promise<BackendServer | SendObstacle.Full | undefined> {
+    const { backends, pauses, places } = this.#context
+    const { request, route, service } = this.#pending
+    const isCoordinated = places.isCoordinated(service)
+    if (!isCoordinated || this.#candidates(withheld).length === 0) return this.#chooseBackend(withheld)
+    const paused = backends.ready(service, RunnerRole.None).filter((backend) => pauses.waitMs(backend) > 0).map(({ id }) => id)
+    const answer = await places.acquire({
+      service,
+      objectiveLeftMs: route.targetLatencyMs - this.#pending.ageMs() - RETURN_TRANSIT_MS,
+      patienceMs: this.#pending.remainingMs(),
+      bytes: request.body.length,
+      excluded: [...this.#triedServers, ...withheld, ...paused]
+    }, (withdraw) => this.#pending.whenEnded(withdraw))
+    if ('unanswered' in answer) return this.#chooseBackend(withheld, { amongTwo: true })
+    if ('refused' in answer) {
+      this.#fullForMs = answer.retryAfterMs
+      return SendObstacle.Full
+    }
+    const backend = backends.get(answer.server)
+    if (backend === undefined) answer.return(null)
+    else this.#places.set(backend.id, answer)
+    return backend ?? this.#chooseBackend(withheld)
+  }
+
+  #returnPlace ({ id }: BackendServer, use: PlaceUse | null): void {
+    this.#places.get(id)?.return(use)
+    this.#places.delete(id)
+  }
+
+  #candidates (withheld: Set<string>): BackendServer[] {
+    return this.#context.backends.ready(this.#pending.service, RunnerRole.None).filter(({ id }) => !this.#triedServers.has(id) && !withheld.has(id))
+  }
+
+  /** Chooses a server by what this instance has seen itself. With `amongTwo`, the better one of two is chosen, as all instances that see little would send to the same server otherwise. */
+  #chooseBackend (withheld: Set<string>, { amongTwo = false } = {}): BackendServer | undefined {
+    const { crossing, health, failureDomain, random } = this.#context
+    const candidates = this.#candidates(withheld)
+      // The random part of less than 1 ms spreads requests over servers of equal cost.
+      .map((backend) => ({ backend, failureDomain: backend.failureDomain, doneAfterMs: health.cost(backend, backend.failureDomain) + random(), order: amongTwo ? random() : 0 }))
+      .toSorted((a, b) => a.order - b.order)
+    const { request, route } = this.#pending
+    const work = { failureDomain, bytes: request.body.length, objectiveLeftMs: route.targetLatencyMs - this.#pending.ageMs() - RETURN_TRANSIT_MS }
+    return crossing.choose(work, amongTwo ? candidates.slice(0, 2) : candidates)?.backend
   }
 
   /** Consumes a retry, unless the send is free. Returns the obstacle if there is none left. */
@@ -164,7 +222,9 @@
     this.#triedServers.add(backend.id)
     this.#awaited.add(backend)
     this.#watchSilence()
+    const sentMs = this.#context.nowMs()
     const attempt = await this.#exchange(backend)
+    this.#returnPlace(backend, this.#useOf(attempt, this.#context.nowMs() - sentMs))
     this.#awaited.delete(backend)
     this.#answering.delete(backend)
     if (pending.ended) return
@@ -179,6 +239,14 @@
     await this.#goOnAfter(backend, result.outcome)
   }
 
+  /** What the coordinator learns from the use of a place; null if the caller ended it. */
+  #useOf (attempt: AttemptResult, durationMs: number): PlaceUse | null {
+    const { ended, timedOut } = this.#pending
+    if (ended) return timedOut ? { outcome: ExchangeOutcome.TimedOut, durationMs } : null
+    if (!('body' in attempt)) return { outcome: attempt.outcome, durationMs }
+    return { outcome: attempt.head.status >= FIRST_SERVER_ERROR_STATUS ? ExchangeOutcome.Failed : ExchangeOutcome.Answered, durationMs }
+  }
+
   /** Continues after a send that failed. Another server is tried once no response can arrive any more; at once if this one was not even asked and the others are silent. */
   async #goOnAfter (backend: BackendServer, outcome: ExchangeOutcome): Promise<void> {
     const notSent = outcome === ExchangeOutcome.NotSent
@@ -244,7 +312,8 @@
     if (this.#failedResponse !== null) return sendResponse(pending, this.#failedResponse)
     const retryAfterMs = MIN_RETRY_AFTER_MS * (1 + random())
     const pauseMs = pauses.shortestWaitMs(backends.ready(pending.service, RunnerRole.None))
-    if (pauseMs > 0 && pending.sentTo.size === 0) refuseWithheld(pending, GatewayRefusal.Paused, pauseMs + retryAfterMs)
+    if (this.#fullForMs !== null && !pending.mayHaveRun && pending.remainingMs() > 0) pending.refuse(GatewayRefusal.Overloaded, this.#fullForMs)
+    else if (pauseMs > 0 && pending.sentTo.size === 0) refuseWithheld(pending, GatewayRefusal.Paused, pauseMs + retryAfterMs)
     else if (Number.isFinite(this.#shortestWaitMs)) refuseWithheld(pending, GatewayRefusal.RateLimited, this.#shortestWaitMs + retryAfterMs)
     else refuseUnanswered(pending, pauseMs + retryAfterMs)
   }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -6,7 +6,7 @@
   BodyTooLarge = 'body-too-large',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
-  /** The request could not be placed on runners. */
+  /** The request could not be placed on runners, or on plain servers in the time that it has. */
   Overloaded = 'overloaded',
   /** Recent requests with a part of this prompt crashed runners. */
   CrashingPrompt = 'crashing-prompt',
