--- a/src/gateway/place-scheduler.ts
+++ b/src/gateway/place-scheduler.ts
@@ -186,7 +186,7 @@
     if (queue.waiting.length === 0) return
     const servers = serversOfGroup(this.#options.backends.ready(queue.service, RunnerRole.None), queue.group)
     this.#sort(queue, servers)
-    if (servers.some((backend) => this.#hasRoom(backend))) queue.waiting = queue.waiting.filter((waiting) => !this.#place(queue, waiting, servers))
+    this.#placeAll(queue, servers)
     this.#refuseHopeless(queue, servers)
   }
 
@@ -198,10 +198,23 @@
     queue.waiting.sort((a, b) => isLate(a) - isLate(b) || a.objectiveMs - b.objectiveMs)
   }
 
+  /** Gives the free places out, in the order of the requests. */
+  #placeAll (queue: GroupQueue, servers: BackendServer[]): void {
+    const passedOver: WaitingRequest[] = []
+    let next = 0
+    for (let open = servers; next < queue.waiting.length; next += 1) {
+      open = open.filter((backend) => this.#hasRoom(backend))
+      if (open.length === 0) break
+      const waiting = queue.waiting[next] as WaitingRequest
+      if (!this.#place(queue, waiting, open)) passedOver.push(waiting)
+    }
+    queue.waiting = [...passedOver, ...queue.waiting.slice(next)]
+  }
+
   #place (queue: GroupQueue, { request, from, objectiveMs }: WaitingRequest, servers: BackendServer[]): boolean {
     const { nowMs, random, crossing, decide } = this.#options
     const candidates = servers
-      .filter((backend) => !request.excluded.includes(backend.id) && this.#hasRoom(backend))
+      .filter((backend) => !request.excluded.includes(backend.id))
       .map((backend) => ({ backend, failureDomain: backend.failureDomain, doneAfterMs: this.#doneAfterMs(backend) + random() }))
     const chosen = crossing.choose({ failureDomain: request.failureDomain, bytes: request.bytes, objectiveLeftMs: objectiveMs - nowMs() }, candidates)?.backend
     if (chosen === undefined) return false
@@ -218,8 +231,8 @@
   }
 
   /** Requests that a server gets at the same time, in work or on their way. */
-  #capacity ({ slots, ...backend }: BackendServer): number {
-    return slots + Math.ceil(slots * TURNAROUND_MS / this.#health.latencyMs({ slots, ...backend }))
+  #capacity (backend: BackendServer): number {
+    return backend.slots + Math.ceil(backend.slots * TURNAROUND_MS / this.#health.latencyMs(backend))
   }
 
   /** Whether a server has answered nothing for so long that it may have stopped. */
