--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -112,7 +112,7 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
-    this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
+    this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, log, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -143,6 +143,8 @@
 class ConnectingAgent extends Agent {
   /** When a new connection to each address was last reset, in milliseconds. */
   readonly #earlyResetsMs = new Map<string, number>()
+  /** Number of connections to each address that are being established. */
+  readonly #connecting = new Map<string, number>()
 
   /** Records that the server at an address has reset a connection on which it had answered nothing. */
   recordEarlyReset (address: string): void {
@@ -151,35 +153,52 @@
     this.#earlyResetsMs.set(address, nowMs)
   }
 
-  /** Number of connections to an address that carry a request. */
+  /** Number of connections to an address that carry a request or are being established for one. */
   inUse (address: string): number {
     const [host, port] = address.split(':')
-    return this.sockets[this.getName({ host, port: Number(port) })]?.length ?? 0
+    return (this.sockets[this.getName({ host, port: Number(port) })]?.length ?? 0) + (this.#connecting.get(address) ?? 0)
   }
 
-  #settleMs ({ host, port }: ClientRequestArgs): number {
-    const resetMs = this.#earlyResetsMs.get(`${host}:${port}`) ?? -Infinity
+  #countConnecting (address: string, change: number): void {
+    const count = (this.#connecting.get(address) ?? 0) + change
+    if (count === 0) this.#connecting.delete(address)
+    else this.#connecting.set(address, count)
+  }
+
+  #settleMs (address: string): number {
+    const resetMs = this.#earlyResetsMs.get(address) ?? -Infinity
     return performance.now() - resetMs < EARLY_RESET_MEMORY_MS ? SETTLE_MS : 0
   }
 
   override createConnection (options: ClientRequestArgs, onCreated?: (error: Error | null, socket: Duplex) => void): undefined {
+    const address = `${options.host}:${options.port}`
     const socket = connect(options as NetConnectOpts)
+    this.#countConnecting(address, 1)
     let timer = setTimeout(() => socket.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS)
-    const onEnd = (error: Error): void => {
+    let ended = false
+    const end = (): void => {
+      ended = true
       clearTimeout(timer)
+      this.#countConnecting(address, -1)
+    }
+    const onEnd = (error: Error): void => {
+      end()
       onCreated?.(error, socket)
     }
     const handOver = (): void => {
-      if (socket.destroyed) return onEnd(new Error('connection closed before its first request'))
+      if (ended) return
+      end()
       socket.removeListener('error', onEnd)
+      if (socket.destroyed) return onCreated?.(new Error('connection closed before its first request'), socket)
       onCreated?.(null, socket)
     }
     socket.once('error', onEnd)
     socket.once('connect', () => {
       clearTimeout(timer)
-      const settleMs = this.#settleMs(options)
+      const settleMs = this.#settleMs(address)
       if (settleMs === 0) handOver()
-      else timer = setTimeout(handOver, settleMs)
+      // After a pause of the process, timers run before a reset is read.
+      else timer = setTimeout(() => setImmediate(handOver), settleMs)
     })
   }
 }
--- a/src/gateway/place-client.ts
+++ b/src/gateway/place-client.ts
@@ -1,3 +1,4 @@
+import type { Log } from '../logs/log.js'
 import { type BackendServer, RunnerRole } from './backend.js'
 import type { BackendTable } from './backend-table.js'
 import type { InstanceTable } from './instance-table.js'
@@ -41,6 +42,7 @@
   failureDomain: string
   nowMs: () => number
   random: () => number
+  log: Log
   backends: Pick<BackendTable, 'ready'>
   instances: InstanceTable
   /** Decides for the groups that this instance coordinates. */
@@ -98,7 +100,7 @@
   }
 
   #ask (request: PlaceRequest, resolve: (answer: PlaceAnswer) => void, onWithdrawable: (withdraw: () => void) => void): void {
-    const { nowMs, instances } = this.#options
+    const { nowMs, instances, log } = this.#options
     const startedMs = nowMs()
     const key = groupKey(request.service, request.group)
     let unanswered = 0
@@ -112,6 +114,7 @@
     const giveUp = (): void => {
       this.#silentUntilMs.set(key, nowMs() + SILENT_COORDINATOR_MS)
       instances.markDeadIfSilent(coordinator)
+      log.warn('place.unanswered', { service: request.service, keeper: coordinator })
       this.#return(coordinator, request.id, null)
       settle({ unanswered: true })
     }
--- a/src/gateway/place-sharing.ts
+++ b/src/gateway/place-sharing.ts
@@ -1,3 +1,4 @@
+import type { Log } from '../logs/log.js'
 import type { BackendTable } from './backend-table.js'
 import { type CrossingPrice, DomainCrossing } from './domain-crossing.js'
 import type { InstanceTable } from './instance-table.js'
@@ -11,6 +12,7 @@
   failureDomain: string
   nowMs: () => number
   random: () => number
+  log: Log
   backends: BackendTable
   instances: InstanceTable
   price: () => CrossingPrice
@@ -31,13 +33,13 @@
   readonly #onWaiting: () => void
 
   constructor (options: PlaceSharingOptions) {
-    const { ip, failureDomain, nowMs, random, backends, instances, canCoordinate, send } = options
+    const { ip, failureDomain, nowMs, random, log, backends, instances, canCoordinate, send } = options
     this.#ip = ip
     this.#send = send
     this.#onWaiting = options.onWaiting
     this.crossing = new DomainCrossing({ nowMs, price: options.price })
     this.scheduler = new PlaceScheduler({ nowMs, random, backends, crossing: this.crossing, decide: (from, id, decision) => this.#decide(from, id, decision) })
-    this.client = new PlaceClient({ ip, failureDomain, nowMs, random, backends, instances, scheduler: this.scheduler, canCoordinate, send: (to, message) => send([to], message) })
+    this.client = new PlaceClient({ ip, failureDomain, nowMs, random, log, backends, instances, scheduler: this.scheduler, canCoordinate, send: (to, message) => send([to], message) })
   }
 
   /** Handles a message about places; returns false for any other message. */
--- a/src/gateway/settings-reload.ts
+++ b/src/gateway/settings-reload.ts
@@ -1,7 +1,7 @@
 import type { GatewaySettings } from './gateway-settings.js'
 
 /** Settings that can change while an instance runs; changes to others take effect at its next start. */
-const LIVE_SETTINGS = ['seeds', 'orderTurnMs', 'drainMs', 'graceS', 'addressLifetimeS', 'repeats'] as const
+const LIVE_SETTINGS = ['seeds', 'orderTurnMs', 'drainMs', 'graceS', 'addressLifetimeS', 'crossing', 'repeats'] as const
 
 export interface SettingsChange {
   /** Names of the settings that have changed and have taken effect. */
--- a/test/gateway/http-exchange.test.ts
+++ b/test/gateway/http-exchange.test.ts
@@ -255,4 +255,37 @@
     const address = await serve(() => {})
     expect(await get(new HttpExchangeClient(), address, true)).toMatchObject({ outcome: ExchangeOutcome.TimedOut })
   })
+
+  // Guards against requests that may not be repeated although they never reached the server, which resets connections over its limit.
+  test('sends nothing on a new connection that is reset at once, after the server has done so before', async () => {
+    let received = 0
+    server = createServer((socket) => {
+      socket.on('data', () => { received += 1 })
+      socket.on('error', () => {})
+      socket.resetAndDestroy()
+    })
+    await new Promise<void>((resolve) => server?.listen(0, '127.0.0.1', resolve))
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    const client = new HttpExchangeClient()
+    await get(client, address)
+    for (let tries = 0; tries < 5; tries += 1) expect(await get(client, address)).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+    expect(received).toBe(0)
+  })
+
+  // Guards against connections over the limit of a server, which resets them together with the requests on them.
+  test('holds no more connections to a server than its share, in use or idle', async () => {
+    const open = new Set<Socket>()
+    const respondLater = (socket: Socket): void => {
+      open.add(socket)
+      socket.on('close', () => open.delete(socket))
+      setTimeout(() => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate'), 50)
+    }
+    const address = await serve(respondLater, respondLater, respondLater)
+    const client = new HttpExchangeClient({ shareOf: () => ({ total: 2, idle: 1 }) })
+    const heads = await Promise.all([get(client, address), get(client, address), get(client, address, true)])
+    expect(heads[2]).toMatchObject({ outcome: ExchangeOutcome.NotSent })
+    await Promise.all(heads.slice(0, 2).map((head) => bodyOf(head)))
+    await until(() => open.size === 1)
+    client.retain(new Set())
+  })
 })
--- a/test/gateway/limit-fixtures.ts
+++ b/test/gateway/limit-fixtures.ts
@@ -18,6 +18,6 @@
   const crossing = new DomainCrossing({ nowMs, price: () => DEFAULT_CROSSING_PRICE })
   const backends = new BackendTable({ nowMs })
   const scheduler = new PlaceScheduler({ nowMs, random: () => 0, backends, crossing, decide: () => {} })
-  const places = new PlaceClient({ ip: '10.0.0.1', failureDomain: 'a', nowMs, random: () => 0, backends, instances, scheduler, canCoordinate: () => true, send: () => {} })
+  const places = new PlaceClient({ ip: '10.0.0.1', failureDomain: 'a', nowMs, random: () => 0, log: recordingLog(), backends, instances, scheduler, canCoordinate: () => true, send: () => {} })
   return { limits, limitKeeper, limitClient, pauses: new ServerPauses({ nowMs, random: () => 0, log: recordingLog() }), places, crossing }
 }
