Return places that two coordinators give out for one request

Cause: an answer of a coordinator that came after the request had gone to another one was ignored, so its place stayed taken for 400 ms or more; a request that waited at the old one stayed there too. Change: the instance remembers who gave out each place in use and returns every other one, and withdraws a request from the old coordinator. Decisions leave the scheduler after its queue is up to date, since a place that is not wanted comes back within the call on the coordinator itself. Measured: the two new tests fail before and pass after; place-sharing and plain-load tests pass.

--- a/src/gateway/place-client.ts
+++ b/src/gateway/place-client.ts
@@ -52,7 +52,7 @@
 }
 
 interface OutstandingRequest {
-  decide: (decision: PlaceDecision) => void
+  decide: (from: string, decision: PlaceDecision) => void
   markWaiting: () => void
 }
 
@@ -60,6 +60,8 @@
 export class PlaceClient {
   readonly #options: PlaceClientOptions
   readonly #outstanding = new Map<string, OutstandingRequest>()
+  /** By id of each place in use, the instance that gave it out. */
+  readonly #held = new Map<string, string>()
   readonly #coordinated = new Set<string>()
   /** By group, until when this instance chooses servers itself, in milliseconds. */
   readonly #silentUntilMs = new Map<string, number>()
@@ -90,9 +92,11 @@
     return new Promise((resolve) => this.#ask(request, resolve, onWithdrawable))
   }
 
-  /** Handles an answer. One to a request that has ended is ignored: the request was withdrawn at the coordinator, or its place is in use and the answer has come twice. */
-  handleDecision (id: string, decision: PlaceDecision): void {
-    this.#outstanding.get(id)?.decide(decision)
+  /** Handles an answer of the instance `from`. A place that is not wanted any more, or was also given out by another coordinator, goes back. */
+  handleDecision (from: string, id: string, decision: PlaceDecision): void {
+    const outstanding = this.#outstanding.get(id)
+    if (outstanding !== undefined) return outstanding.decide(from, decision)
+    if ('server' in decision && this.#held.get(id) !== from) this.#return(from, id, null)
   }
 
   handleWaiting (id: string): void {
@@ -121,13 +125,15 @@
     const send = (): void => {
       if (unanswered >= MAX_UNANSWERED_SENDS) return giveUp()
       unanswered += 1
+      const previous = coordinator
       coordinator = this.#coordinatorOf(key)
+      if (previous !== coordinator) this.#return(previous, request.id, null)
       const elapsedMs = nowMs() - startedMs
       timer = setTimeout(send, RESEND_MS)
       this.#send(coordinator, { ...request, objectiveLeftMs: request.objectiveLeftMs - elapsedMs, patienceMs: request.patienceMs - elapsedMs })
     }
     this.#outstanding.set(request.id, {
-      decide: (decision) => settle('refused' in decision ? decision : this.#placeOf(coordinator, request.id, decision.server)),
+      decide: (from, decision) => settle('refused' in decision ? decision : this.#hold(from, request.id, decision.server)),
       markWaiting: () => {
         unanswered = 0
         clearTimeout(timer)
@@ -142,15 +148,11 @@
     send()
   }
 
-  #placeOf (coordinator: string, id: string, server: string): Place {
-    let returned = false
+  #hold (coordinator: string, id: string, server: string): Place {
+    this.#held.set(id, coordinator)
     return {
       server,
-      return: (use) => {
-        if (returned) return
-        returned = true
-        this.#return(coordinator, id, use)
-      }
+      return: (use) => { if (this.#held.delete(id)) this.#return(coordinator, id, use) }
     }
   }
 
--- a/src/gateway/place-scheduler.ts
+++ b/src/gateway/place-scheduler.ts
@@ -222,27 +222,32 @@
   /** Gives the free places out, in the order of the requests. */
   #placeAll (queue: GroupQueue, servers: BackendServer[]): void {
     const passedOver: WaitingRequest[] = []
+    const placed: Array<{ waiting: WaitingRequest, server: string }> = []
     let next = 0
     for (let open = servers; next < queue.waiting.length; next += 1) {
       open = open.filter((backend) => this.#hasRoom(backend))
       if (open.length === 0) break
       const waiting = queue.waiting[next] as WaitingRequest
-      if (!this.#place(queue, waiting, open)) passedOver.push(waiting)
+      const server = this.#place(queue, waiting, open)
+      if (server === undefined) passedOver.push(waiting)
+      else placed.push({ waiting, server })
     }
     queue.waiting = [...passedOver, ...queue.waiting.slice(next)]
+    // Last, as a place that is not wanted any more comes back at once.
+    for (const { waiting: { from, request: { id } }, server } of placed) this.#options.decide(from, id, { server })
   }
 
-  #place (queue: GroupQueue, { request, from, objectiveMs }: WaitingRequest, servers: BackendServer[]): boolean {
-    const { nowMs, random, crossing, decide } = this.#options
+  /** Takes the best place for a request; returns the id of its server, or undefined if no server can take the request. */
+  #place (queue: GroupQueue, { request, objectiveMs }: WaitingRequest, servers: BackendServer[]): string | undefined {
+    const { nowMs, random, crossing } = this.#options
     const candidates = servers
       .filter((backend) => !request.excluded.includes(backend.id))
       .map((backend) => ({ backend, failureDomain: backend.failureDomain, doneAfterMs: this.#doneAfterMs(backend) + random() }))
     const chosen = crossing.choose({ failureDomain: request.failureDomain, bytes: request.bytes, objectiveLeftMs: objectiveMs - nowMs() }, candidates)?.backend
-    if (chosen === undefined) return false
+    if (chosen === undefined) return undefined
     this.#places.set(request.id, { backend: chosen, queue, takenMs: nowMs() })
     this.#loadOf(chosen).taken.add(request.id)
-    decide(from, request.id, { server: chosen.id })
-    return true
+    return chosen.id
   }
 
   #hasRoom (backend: BackendServer): boolean {
@@ -285,14 +290,16 @@
     const sparePerMs = ratePerMs - this.#arrivalsPerMs(queue)
     const onTime: WaitingRequest[] = []
     const late: WaitingRequest[] = []
+    const hopeless: WaitingRequest[] = []
     for (const waiting of queue.waiting) {
       const startsMs = nowMs + (onTime.length + 1) / ratePerMs
       const lateStartsMs = sparePerMs <= 0 ? Infinity : startsMs + late.length / sparePerMs
       if (startsMs + neededMs <= waiting.objectiveMs) onTime.push(waiting)
       else if (lateStartsMs + neededMs <= waiting.patienceEndMs) late.push(waiting)
-      else this.#options.decide(waiting.from, waiting.request.id, { refused: true, retryAfterMs: this.#returnAfterMs(queue, ratePerMs) })
+      else hopeless.push(waiting)
     }
     queue.waiting = [...onTime, ...late]
+    for (const { from, request: { id } } of hopeless) this.#options.decide(from, id, { refused: true, retryAfterMs: this.#returnAfterMs(queue, ratePerMs) })
   }
 
   /** Tells refused callers to return one after the other, at the rate that the servers have to spare. */
--- a/src/gateway/place-sharing.ts
+++ b/src/gateway/place-sharing.ts
@@ -61,7 +61,7 @@
   }
 
   #decide (to: string, id: string, decision: PlaceDecision): void {
-    if (to === this.#ip) this.client.handleDecision(id, decision)
+    if (to === this.#ip) this.client.handleDecision(to, id, decision)
     else if ('server' in decision) this.#send([to], { kind: PeerDatagramKind.PlaceTaken, id, server: decision.server })
     else this.#send([to], { kind: PeerDatagramKind.PlaceRefused, id, retryAfterMs: decision.retryAfterMs })
   }
@@ -72,7 +72,7 @@
 const handlers: Handlers = {
   [PeerDatagramKind.TakePlace]: (sharing, from, message) => sharing.handleRequest(from, message),
   [PeerDatagramKind.PlaceWaits]: (sharing, _from, { id }) => sharing.client.handleWaiting(id),
-  [PeerDatagramKind.PlaceTaken]: (sharing, _from, { id, server }) => sharing.client.handleDecision(id, { server }),
-  [PeerDatagramKind.PlaceRefused]: (sharing, _from, { id, retryAfterMs }) => sharing.client.handleDecision(id, { refused: true, retryAfterMs }),
+  [PeerDatagramKind.PlaceTaken]: (sharing, from, { id, server }) => sharing.client.handleDecision(from, id, { server }),
+  [PeerDatagramKind.PlaceRefused]: (sharing, from, { id, retryAfterMs }) => sharing.client.handleDecision(from, id, { refused: true, retryAfterMs }),
   [PeerDatagramKind.ReturnPlace]: (sharing, _from, { id, use }) => sharing.scheduler.return(id, use)
 }
--- a/test/gateway/place-sharing.test.ts
+++ b/test/gateway/place-sharing.test.ts
@@ -3,8 +3,7 @@
 import { DEFAULT_CROSSING_PRICE } from '../../src/gateway/domain-crossing.js'
 import { ExchangeOutcome } from '../../src/gateway/exchange-outcome.js'
 import { InstanceTable } from '../../src/gateway/instance-table.js'
-import type { PeerDatagramKind, PeerDatagram } from '../../src/gateway/peer-datagram.js'
-import { decodeDatagram, encodeDatagram } from '../../src/gateway/peer-datagram.js'
+import { decodeDatagram, encodeDatagram, type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
 import type { Place, PlaceAnswer } from '../../src/gateway/place-client.js'
 import { PlaceSharing } from '../../src/gateway/place-sharing.js'
 import { backend, recordingLog } from './gateway-fixtures.js'
@@ -21,19 +20,22 @@
   coordinator: string
   /** An instance that asks another one. */
   asker: PlaceSharing
-  loses: (from: string, to: string, kind: PeerDatagramKind) => boolean
+  loses: (from: string, to: string) => boolean
+  /** Requests for places that were sent. */
+  taken: Array<{ from: string, message: PeerDatagram }>
 }
 
 /** Four instances before one plain server of two places, with a common clock that the test sets. */
 function startFleet (): Fleet {
-  const fleet: Fleet = { nowMs: 1000, sharings: new Map(), tables: new Map(), coordinator: '', asker: undefined as never, loses: () => false }
+  const fleet: Fleet = { nowMs: 1000, sharings: new Map(), tables: new Map(), coordinator: '', asker: undefined as never, loses: () => false, taken: [] }
   const nowMs = (): number => fleet.nowMs
   for (const ip of IPS) {
     const instances = new InstanceTable({ ip, nowMs })
     const backends = new BackendTable({ nowMs })
     backends.put(backend({ slots: SLOTS }))
     const send = (to: string[], message: PeerDatagram): void => {
-      for (const target of to) if (!fleet.loses(ip, target, message.kind)) fleet.sharings.get(target)?.handleDatagram(ip, decodeDatagram(encodeDatagram(message)) as PeerDatagram)
+      if (message.kind === PeerDatagramKind.TakePlace) fleet.taken.push({ from: ip, message })
+      for (const target of to) if (!fleet.loses(ip, target)) fleet.sharings.get(target)?.handleDatagram(ip, decodeDatagram(encodeDatagram(message)) as PeerDatagram)
     }
     fleet.tables.set(ip, instances)
     fleet.sharings.set(ip, new PlaceSharing({ ip, failureDomain: 'a', nowMs, random: () => 0.5, log: recordingLog(), backends, instances, price: () => DEFAULT_CROSSING_PRICE, canCoordinate: () => true, send, onWaiting: () => {} }))
@@ -117,6 +119,17 @@
     expect(await waiting.answer).toMatchObject({ server: 'b1' })
   })
 
+  // Guards against places that nobody uses, given out by a coordinator whose answers come after the request has gone to another one.
+  test.each(['while its place is in use', 'after it has returned its place'])('an instance gives a place back that a second coordinator gives it %s', async (moment) => {
+    const fleet = startFleet()
+    const place = await acquire(fleet.asker).answer as Place
+    const [request] = fleet.taken
+    const second = fleet.sharings.get(IPS.find((ip) => ip !== fleet.coordinator && fleet.sharings.get(ip) !== fleet.asker) as string)
+    if (moment.startsWith('after')) place.return(answered)
+    second?.handleDatagram(request?.from ?? '', request?.message as PeerDatagram)
+    expect(second?.scheduler.takenCount).toBe(0)
+  })
+
   // Guards against places that are lost for good, and against returns that come five seconds late and free what others hold by then.
   test('places whose return is lost or late are given out again, once', async () => {
     const fleet = startFleet()
