Let the soak's callers use keys, and judge whom servers run their requests for

Cause: nothing outside the unit tests showed that keys hold while instances are killed, cut off from the store and reconfigured.

Change: the soak's configurations have two organisations with lasting keys and one that gets a new key and loses an old one with each version. Servers tell the ledger the organisation and any key that they are given.

--- a/src/soak/run-soak.ts
+++ b/src/soak/run-soak.ts
@@ -11,6 +11,7 @@
 import { SlowCaller, UPLOAD_LIMIT_BYTES } from './slow-callers.js'
 import { StoreReturns } from './store-returns.js'
 import { SoakLedger } from './soak-ledger.js'
+import { callerKey, removedKey, rotatingKey } from './soak-organisations.js'
 
 /** Time for the fleet to become ready, in milliseconds. */
 const START_MS = 2500
@@ -79,7 +80,7 @@
 export async function runSoak (options: SoakOptions): Promise<SoakOutcome> {
   const random = seededRandom(options.seed)
   const ledger = new SoakLedger()
-  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger, memoryMb: MEMORY_MB, limits: { bodyBytes: UPLOAD_LIMIT_BYTES }, unframedShare: UNFRAMED_SHARE })
+  const fleet = new SoakFleet({ folder: options.folder, net: `77.${options.seed % 250}`, instances: options.instances, ledger, memoryMb: MEMORY_MB, limits: { bodyBytes: UPLOAD_LIMIT_BYTES }, unframedShare: UNFRAMED_SHARE, withOrganisations: true })
   const watch = new ProcessWatch({ fleet, memoryMb: MEMORY_MB })
   const violations: string[] = []
   try {
@@ -122,13 +123,14 @@
 function createCallers (fleet: SoakFleet, ledger: SoakLedger, { seed, callers }: SoakOptions): SoakCaller[] {
   const random = seededRandom(seed + CALLERS_SEED_OFFSET)
   return Array.from({ length: callers }, (_, index) =>
-    new PlatformCallerStandIn({ name: `s${seed}c${index}`, directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
+    new PlatformCallerStandIn({ name: `s${seed}c${index}`, key: callerKey(index), directories: fleet.directories, onEnd: (end) => ledger.ends.push(end), random }))
 }
 
 function createSlowCallers (fleet: SoakFleet, ledger: SoakLedger, { seed }: SoakOptions): SoakCaller[] {
   const random = seededRandom(seed + SLOW_CALLERS_SEED_OFFSET)
   return Array.from({ length: SLOW_CALLERS }, (_, index) => new SlowCaller({
     name: `s${seed}w${index}`,
+    key: callerKey(index),
     addresses: fleet.instances.map((instance) => fleet.callers(instance)),
     onEnd: (end) => ledger.ends.push(end),
     random,
@@ -160,28 +162,33 @@
   return faults
 }
 
-/** Judges instances that no fault touched from a while before the change until its route had to be in force. */
+/** Judges instances that no fault touched from a while before the change until its route and its keys had to be in force. */
 async function checkApplied (fleet: SoakFleet, path: string, violations: string[]): Promise<void> {
   const sinceMs = performance.now() - UNTOUCHED_MS
+  const { version } = fleet
   await delay(APPLY_MS)
   for (const instance of fleet.instances) {
     if (instance.touchedMs > sinceMs) continue
-    const status = await statusOf(fleet, instance, path)
-    if (status === 404 && instance.touchedMs <= sinceMs) violations.push(`${instance.ip} does not know ${path} ${APPLY_MS} ms after it was accepted`)
+    const status = await statusOf(fleet, instance, path, rotatingKey(version))
+    const removedStatus = await statusOf(fleet, instance, path, removedKey(version))
+    if (instance.touchedMs > sinceMs) continue
+    if (status === 404) violations.push(`${instance.ip} does not know ${path} ${APPLY_MS} ms after it was accepted`)
+    if (status === 401) violations.push(`${instance.ip} does not know the key of version ${version} ${APPLY_MS} ms after it was accepted`)
+    if (removedStatus === 200) violations.push(`${instance.ip} served a key that version ${version} had removed`)
   }
 }
 
 /** Judges after the recovery whether all instances have the newest configuration, also if the store had lost it for a while. */
 async function unknownRoutes (fleet: SoakFleet): Promise<string[]> {
   const path = fleet.newestPath
-  const statuses = await Promise.all(fleet.instances.map((instance) => statusOf(fleet, instance, path)))
-  return fleet.instances.filter((_instance, index) => statuses[index] === 404).map(({ ip }) => `${ip} does not know ${path} after the recovery`)
+  const statuses = await Promise.all(fleet.instances.map((instance) => statusOf(fleet, instance, path, rotatingKey(fleet.version))))
+  return fleet.instances.filter((_instance, index) => statuses[index] === 404 || statuses[index] === 401).map(({ ip }) => `${ip} does not know ${path} or its key after the recovery`)
 }
 
 /** Status of an instance's answer; 0 without one. */
-function statusOf (fleet: SoakFleet, instance: SoakInstance, path: string): Promise<number> {
+function statusOf (fleet: SoakFleet, instance: SoakInstance, path: string, key: string): Promise<number> {
   return new Promise((resolve) => {
-    const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example' }, timeout: 1500 }, (answer) => {
+    const asked = request(`http://${fleet.callers(instance)}${path}x`, { headers: { Host: 'soak.example', 'X-Key': key }, timeout: 1500 }, (answer) => {
       answer.resume()
       resolve(answer.statusCode ?? 0)
     })
--- a/src/soak/slow-callers.ts
+++ b/src/soak/slow-callers.ts
@@ -39,6 +39,7 @@
 
 interface SlowCallersOptions {
   name: string
+  key: string
   /** Addresses of the listeners for callers. */
   addresses: string[]
   onEnd: (end: CallEnd) => void
@@ -80,7 +81,7 @@
     const socket = connect(Number(port), host)
     socket.on('error', () => {})
     socket.pause()
-    socket.write(`POST /orders/bytes-${LARGEST_ANSWER_BYTES} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: ${this.#nextId()}\r\nX-Deadline-Ms: ${DEADLINE_MS}\r\nContent-Length: 0\r\n\r\n`)
+    socket.write(`POST /orders/bytes-${LARGEST_ANSWER_BYTES} HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: ${this.#nextId()}\r\nX-Deadline-Ms: ${DEADLINE_MS}\r\nX-Key: ${this.#options.key}\r\nContent-Length: 0\r\n\r\n`)
     return socket
   }
 
@@ -101,7 +102,7 @@
       const call = request(`http://${address}${path}`, {
         agent: this.#agent,
         method: 'POST',
-        headers: { Host: 'soak.example', 'X-Request-Id': id, 'X-Deadline-Ms': String(DEADLINE_MS), ...(withLength ? { 'Content-Length': uploadBytes } : {}) }
+        headers: { Host: 'soak.example', 'X-Request-Id': id, 'X-Deadline-Ms': String(DEADLINE_MS), 'X-Key': this.#options.key, ...(withLength ? { 'Content-Length': uploadBytes } : {}) }
       }, (answer) => {
         readSlowly(answer, { pauseMs: readMs / PARTS, pauseBytes: answerBytes / PARTS }).then(({ text, complete }) =>
           end(answer.statusCode ?? null, complete && answer.statusCode === 200 && text !== plainAnswer(id, path) ? `answer of ${text.length} characters, ${JSON.stringify(text.slice(0, 80))}` : null, complete), () => end(null, null))
--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -7,6 +7,7 @@
 import { PlatformRunnerStandIn, RunnerStage } from '../standin/platform-runner-standin.js'
 import { PlatformStoreStandIn } from '../standin/platform-store-standin.js'
 import { FaultyLink } from './faulty-link.js'
+import { organisationsOf } from './soak-organisations.js'
 import { UnexpectedExits } from './unexpected-exits.js'
 import type { SoakLedger } from './soak-ledger.js'
 
@@ -36,6 +37,8 @@
   limits?: FleetLimits
   /** Share of the runners' answers that end with their connection; none by default. */
   unframedShare?: number
+  /** Whether the configurations have organisations, so that callers need keys. */
+  withOrganisations?: boolean
 }
 
 export interface SoakInstance {
@@ -96,7 +99,7 @@
     this.#version += 1
     const added = `/added-${this.#version}/`
     this.#added.push(added)
-    this.store.put(configurationKey, platformConfiguration({ version: this.#version, addedPaths: this.#added, ...this.#limits }))
+    this.store.put(configurationKey, platformConfiguration({ version: this.#version, addedPaths: this.#added, ...this.#limits, ...(this.#options.withOrganisations === true ? { organisations: organisationsOf(this.#version) } : {}) }))
     return added
   }
 
@@ -105,11 +108,15 @@
     return this.#added.at(-1) ?? ''
   }
 
+  get version (): number {
+    return this.#version
+  }
+
   async startRunner (index: number, stage: RunnerStage): Promise<void> {
     const ip = this.#ip(100 + index)
     const id = `i-${index}-${Math.floor(performance.now())}`
     const service = stage === RunnerStage.Plain ? 'plain' : 'model'
-    const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request) => this.#options.ledger.ran(request), onBroken: (request) => this.#options.ledger.brokenOff.add(request) })
+    const standIn = new PlatformRunnerStandIn({ id, stage, onRun: (request, caller) => this.#options.ledger.ran(request, caller), onBroken: (request) => this.#options.ledger.brokenOff.add(request) })
     standIn.unframedShare = this.#options.unframedShare ?? 0
     await listen(standIn.server, ip, PORTS.runner)
     this.runners[index] = { id, ip, service, stage, standIn }
--- a/src/standin/platform-caller-standin.ts
+++ b/src/standin/platform-caller-standin.ts
@@ -13,6 +13,8 @@
 
 interface PlatformCallerOptions {
   name: string
+  /** Key of its organisation, if the configuration needs keys. */
+  key?: string
   directories: string[]
   /** Told how each call ended. */
   onEnd: (end: CallEnd) => void
@@ -68,7 +70,7 @@
     const kind = this.#pick(Object.values(CallKind)) ?? CallKind.Check
     this.#calls += 1
     const id = `${this.#options.name}-${this.#calls}`
-    this.#options.onEnd(await send(this.#agent, address, kind, id))
+    this.#options.onEnd(await send(this.#agent, address, kind, id, this.#options.key))
   }
 
   #pick<T> (from: T[]): T | undefined {
@@ -76,7 +78,7 @@
   }
 }
 
-function send (agent: Agent, address: string, kind: CallKind, id: string): Promise<CallEnd> {
+function send (agent: Agent, address: string, kind: CallKind, id: string, key?: string): Promise<CallEnd> {
   return new Promise((resolve) => {
     const startedMs = performance.now()
     let sentMs: number | null = null
@@ -91,6 +93,7 @@
         Host: 'soak.example',
         'X-Request-Id': id,
         'X-Deadline-Ms': String(CALL_DEADLINE_MS),
+        ...(key === undefined ? {} : { 'X-Key': key }),
         ...(kind === CallKind.Stream ? { 'X-Model': 'm', 'X-Token-Counts': '500,900', 'X-Length-Hint': '500' } : {})
       }
     }, (answer) => {
--- a/src/standin/platform-entries.ts
+++ b/src/standin/platform-entries.ts
@@ -17,10 +17,12 @@
   timeoutMs?: number
   idleTimeoutMs?: number
   bodyBytes?: number
+  /** Organisations whose keys are needed; without them, no key is. */
+  organisations?: Array<{ name: string, keys: string[] }> | undefined
 }
 
 /** A configuration as an operator writes it: orders, checks and streams, and the given paths to the plain service. */
-export function platformConfiguration ({ version, addedPaths, timeoutMs = 3000, idleTimeoutMs = 15_000, bodyBytes = 65_536 }: PlatformConfigurationOptions): unknown {
+export function platformConfiguration ({ version, addedPaths, timeoutMs = 3000, idleTimeoutMs = 15_000, bodyBytes = 65_536, organisations }: PlatformConfigurationOptions): unknown {
   const route = (path: string, kind: string, service: string, more: object = {}): object => ({
     Name: path, Host: HOST, PathPrefix: path, Kind: kind, TimeoutMs: timeoutMs, TargetLatencyMs: 500, Service: service, Attempts: 2, ...more
   })
@@ -36,7 +38,8 @@
       { Name: 'plain', MaxConnections: 100 },
       { Name: 'model', MaxConnections: 100, Engine: { Slots: 16, KvCacheTokens: 20_000, Stride: 40 } }
     ],
-    Limits: { HeaderBytes: 16384, BodyBytes: bodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: idleTimeoutMs }
+    Limits: { HeaderBytes: 16384, BodyBytes: bodyBytes, HeaderTimeoutMs: 3000, IdleTimeoutMs: idleTimeoutMs },
+    ...(organisations === undefined ? {} : { Tenants: organisations.map(({ name, keys }) => ({ Name: name, ApiKeys: keys })) })
   }
 }
 
--- a/src/standin/platform-runner-standin.ts
+++ b/src/standin/platform-runner-standin.ts
@@ -17,8 +17,8 @@
 interface PlatformRunnerOptions {
   id: string
   stage: RunnerStage
-  /** Told of each request that begins to run here. */
-  onRun: (requestId: string) => void
+  /** Told of each request that begins to run here, with the organisation that the gateway names and the key if it was passed on. */
+  onRun: (requestId: string, caller: { organisation: string | undefined, key: string | undefined }) => void
   /** Told of each request that ran here and whose answer breaks off. */
   onBroken?: (requestId: string) => void
 }
@@ -92,7 +92,7 @@
       response.writeHead(421).end()
       return
     }
-    this.#options.onRun(id)
+    this.#options.onRun(id, { organisation: headerText(request, 'x-tenant'), key: headerText(request, 'x-key') })
     this.#active.add(id)
     response.on('close', () => this.#active.delete(id))
     if (this.faultyAnswer !== null) {
@@ -138,3 +138,8 @@
     response.on('close', () => clearInterval(timer))
   }
 }
+
+function headerText ({ headers }: IncomingMessage, name: string): string | undefined {
+  const value = headers[name]
+  return Array.isArray(value) ? value.join() : value
+}
--- a/test/soak/soak-ledger.test.ts
+++ b/test/soak/soak-ledger.test.ts
@@ -30,3 +30,17 @@
     expect(judged(kind, runs, status)).toEqual([])
   })
 })
+
+describe('SoakLedger with organisations', () => {
+  // Guards against a soak that passes although keys reach servers, or requests run for the wrong organisation.
+  test.each([
+    ['the caller\'s organisation', { organisation: 'soak-b', key: undefined }, []],
+    ['another organisation', { organisation: 'soak-a', key: undefined }, ['s1c3-1: ran for soak-a instead of soak-b']],
+    ['no organisation', { organisation: undefined, key: undefined }, ['s1c3-1: ran for no organisation instead of soak-b']],
+    ['its key', { organisation: 'soak-b', key: 'k' }, ['s1c3-1: its key was passed on to a server']]
+  ])('judges a run with %s', (_name, caller, violations) => {
+    const ledger = new SoakLedger()
+    ledger.ran('s1c3-1', caller)
+    expect(ledger.violations()).toEqual(violations)
+  })
+})
