--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -29,6 +29,8 @@
   mayHaveRun = false
   /** True once a send to a server, also of a prefill, has begun. */
   sendStarted = false
+  /** Number of sends of which no outcome is known although the request may have been written; prefills do not count. */
+  openSends = 0
   /** Ids of the servers to which the request was sent, for the route's limit of attempts; prefills do not count. */
   readonly sentTo = new Set<string>()
   readonly #nowMs: () => number
