--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -121,7 +121,7 @@
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
     this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: () => settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
     this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
-    this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
+    this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, log, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
