Decide order, admission, runners and refusals under shortage together, and measure decode speeds

Change: an order by lateness, priority and the organisation's share of the usual demand in tokens, in which a less urgent priority is not starved; a margin of one standard deviation of the lengths in the forecast of memory; pairs of runners by the time that they cost, in which leaving a failure domain has a price; lasting and momentary speeds of decode runners; prefill runners that are far overdue do not count as free; refused callers return within a third of their time, spread; late requests are refused at once when requests on time take what the runners serve; the priority goes to the runner; runners that a pool clearly does not need change their role before a burst.

--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -25,6 +25,8 @@
   organisation?: string | null
   /** Asked just before the request is written; if it returns false, the request is not sent. */
   maySend?: () => boolean
+  /** Urgency of a model request at its runner, 0 is the most urgent; by it the runner chooses which run yields when memory runs out. */
+  priority?: number
   /** Runs only the prefill, without decoding. */
   prefillOnly?: boolean
   /** KV cache of the prompt, if a prefill runner has computed it. */
--- a/src/gateway/memory-forecast.ts
+++ b/src/gateway/memory-forecast.ts
@@ -1,9 +1,14 @@
+/** Number of standard deviations by which the runs of a runner may together be longer than expected without exceeding its memory. A preempted run is read again, during which all streams of its runner pause. */
+const SAFETY_DEVIATIONS = 1
+
 /** Current and expected memory of one run on a decode runner, counted in tokens. */
 export interface RunMemory {
   /** Tokens that the run holds now: its prompt and its output so far. */
   heldTokens: number
   /** Output tokens that it is still expected to produce. */
   remainingTokens: number
+  /** Standard deviation of the remaining tokens; 0 by default. */
+  spreadTokens?: number
 }
 
 /** Expected memory of the runs on one decode runner. */
@@ -11,10 +16,14 @@
   /** Sorted by remaining tokens. */
   readonly #runs: RunMemory[]
   #heldTokens = 0
+  #variance = 0
 
   constructor (options: { runs: RunMemory[] }) {
     this.#runs = options.runs.toSorted((a, b) => a.remainingTokens - b.remainingTokens)
-    for (const { heldTokens } of this.#runs) this.#heldTokens += heldTokens
+    for (const { heldTokens, spreadTokens = 0 } of this.#runs) {
+      this.#heldTokens += heldTokens
+      this.#variance += spreadTokens ** 2
+    }
   }
 
   get runCount (): number {
@@ -26,6 +35,11 @@
     return this.#heldTokens
   }
 
+  /** Peak of the memory that the runs and the added one are unlikely to exceed, in tokens: lengths are expected right on average only, and the more runs share a runner, the more their differences cancel out. */
+  safePeakTokens (added: RunMemory): number {
+    return this.peakTokens(added) + SAFETY_DEVIATIONS * Math.sqrt(this.#variance + (added.spreadTokens ?? 0) ** 2)
+  }
+
   /**
    * Expected peak of the memory that the runs hold together, in tokens, with one more run if there is `added`.
    * All runs of a runner grow by the same number of tokens per step, so the peak is either the present total or the total just before one of them ends.
--- a/src/gateway/output-length.ts
+++ b/src/gateway/output-length.ts
@@ -36,3 +36,19 @@
   if (longer === 0) return Math.min(limitTokens, median * OVERRUN_SHARE)
   return Math.min(limitTokens, sum / longer - madeTokens)
 }
+
+/** Standard deviation of the remaining length around `expectedRemaining`, in tokens. */
+export function remainingSpread ({ estimateTokens, maxTokens }: OutputLength, madeTokens: number): number {
+  const median = estimateTokens ?? maxTokens * DEFAULT_LENGTH_SHARE
+  let longer = 0
+  let sum = 0
+  let squares = 0
+  for (const factor of LENGTH_FACTORS) {
+    const length = Math.min(maxTokens, median * factor)
+    if (length <= madeTokens) continue
+    longer += 1
+    sum += length
+    squares += length * length
+  }
+  return longer === 0 ? 0 : Math.sqrt(Math.max(0, squares / longer - (sum / longer) ** 2))
+}
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -85,11 +85,15 @@
       id: z.string(),
       service: z.string(),
       failureDomain: z.string(),
+      // Instances of older versions name neither.
+      organisation: z.string().default(''),
+      priority: z.number().default(0),
       promptTokens: z.number(),
       output: outputLengthSchema,
       promptId: z.string().nullable(),
       objectiveLeftMs: z.number(),
       patienceMs: z.number(),
+      longestReturnMs: z.number().nullable().default(null),
       // Instances of older versions name none.
       pauses: z.array(z.object({ server: z.string(), leftMs: z.number() })).default([])
     })
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -8,6 +8,9 @@
 /** Extra wait past the deadline, in milliseconds. A server that stops at the deadline sends a response of its own; the gateway refuses the request only if that response does not arrive in this time. */
 const FINAL_RESPONSE_MARGIN_MS = 40
 
+/** Share of its remaining time after which a refused caller returns at the latest, whatever it is told. */
+const LONGEST_RETURN_SHARE = 1 / 3
+
 interface PendingRequestOptions {
   request: CallerRequest
   route: Route
@@ -58,6 +61,11 @@
     Object.assign(this.logFields, fields)
   }
 
+  /** Priority of its organisation, or of its route if that has none; 0 is the most urgent. */
+  get priority (): number {
+    return this.organisation?.priority ?? this.route.priority
+  }
+
   /** Fields of the log line that is written when the request ends. */
   endFields (ending: string): LogFields {
     const { request, route, service, organisation, sentTo, logFields } = this
@@ -101,6 +109,11 @@
     return Math.max(0, longestWaitMs(this.request, this.route) - this.ageMs())
   }
 
+  /** Longest time after which the caller returns if it is refused now, in milliseconds. */
+  get longestReturnMs (): number {
+    return LONGEST_RETURN_SHARE * this.remainingMs()
+  }
+
   /** Time since the request arrived, in milliseconds. */
   ageMs (): number {
     return this.#nowMs() - this.request.arrivedMs
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -224,17 +224,20 @@
   }
 
   #placementRequestOf (pending: PendingRequest): PlacementRequest {
-    const { request, route, service } = pending
+    const { request, route, service, organisation } = pending
     const parameters = request.generationParameters
     return {
       id: request.id,
       service,
       failureDomain: this.#options.failureDomain,
+      organisation: organisation?.name ?? '',
+      priority: pending.priority,
       promptTokens: parameters?.promptTokens ?? 0,
       output: { estimateTokens: parameters?.estimatedOutputTokens ?? null, maxTokens: parameters?.maxOutputTokens ?? 0 },
       promptId: parameters?.promptId ?? null,
       objectiveLeftMs: route.targetLatencyMs - pending.ageMs(),
       patienceMs: Math.min(MAX_WAIT_SHARE_OF_GIVE_UP_TIME * giveUpMs(route) - FIRST_EVENT_RESERVE_MS, MAX_WAIT_SHARE_OF_REMAINING_TIME * pending.remainingMs()),
+      longestReturnMs: pending.longestReturnMs,
       pauses: this.#options.pauses(service)
     }
   }
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -1,16 +1,18 @@
-import { Backlog, type ServiceLoad, shortestWaitMs } from './backlog.js'
+import { Backlog, type ServiceLoad, shortestLateWaitMs, shortestWaitMs } from './backlog.js'
 import { type BackendServer, incarnationOf, RunnerRole } from './backend.js'
 import type { BackendTable } from './backend-table.js'
 import type { EngineConfiguration } from './configuration.js'
+import { FairShares, type ShareOfRequest } from './fair-shares.js'
 import type { RunMemory } from './memory-forecast.js'
-import { expectedRemaining } from './output-length.js'
+import { expectedRemaining, remainingSpread } from './output-length.js'
 import { type DecisionCallback, type Placement, PlacementRefusal, type PlacementRequest, type RefusedPlacement, type RunProgress } from './placement.js'
 import { RefusedPrompts } from './refused-prompts.js'
 import { RequestAverages } from './request-averages.js'
 import { type Demand, poolCapacity, type RequestMix, runsOnFullRunner } from './role-balance.js'
 import { type Run, RunTable } from './run-table.js'
 import { RunnerSpeeds } from './runner-speeds.js'
-import { type RunnerFilter, RunnerPool } from './runner-pool.js'
+import { PairShortage, type RunnerFilter, RunnerPool } from './runner-pool.js'
+import { compareClaims, type WaitingClaim } from './service-order.js'
 
 /** Share of a decode runner's memory that forecast usage may fill; the rest absorbs runs longer than expected. */
 export const MEMORY_FILL_SHARE = 0.97
@@ -24,15 +26,15 @@
 /** Minimum time between two scheduling passes caused by a release, the end of a prefill or a request behind waiting ones, in milliseconds; during a burst, a pass after each of them would cost too much processor time. */
 const PASS_SPACING_MS = 10
 
+/** Time after the expected end of a prefill from which its runner counts as slowed down, as a multiple of its expected duration: a runner may answer some time after it has begun the next prompt. */
+const PREFILL_OVERDUE_FACTOR = 3
+
 /** Time from placement to the first event, not counting the prefill, in milliseconds: two network hops, the transfer of the prompt's KV cache and the decoding of the first event's tokens. */
 const FIRST_EVENT_MS = 120
 
 /** Time for which a runner that failed a request is avoided, in milliseconds. */
 const FAILED_RUNNER_BACKOFF_MS = 1500
 
-/** Added to the rank of late requests, in milliseconds; exceeds every timestamp, so late requests sort after all others. */
-const LATE_RANK_OFFSET_MS = 2 ** 50
-
 const MS_PER_SECOND = 1000
 
 /** Speed assumed of a decode runner that processes prompts, in tokens per millisecond, to tell whether a request can be on time. */
@@ -93,7 +95,8 @@
   readonly #runs: RunTable
   readonly #waiting = new Map<string, WaitingRequest>()
   readonly #refusedPrompts: RefusedPrompts
-  readonly #speeds = new RunnerSpeeds()
+  readonly #speeds: RunnerSpeeds
+  readonly #shares: FairShares
   readonly #requests: RequestAverages
   readonly #backlog: Backlog
   readonly #backoffUntilMs = new Map<string, number>()
@@ -107,9 +110,12 @@
   constructor (options: PlacementSchedulerOptions) {
     this.#options = options
     this.#runs = new RunTable(options)
-    this.#refusedPrompts = new RefusedPrompts({ nowMs: options.nowMs })
-    this.#requests = new RequestAverages({ nowMs: options.nowMs })
-    this.#backlog = new Backlog({ nowMs: options.nowMs })
+    const { nowMs } = options
+    this.#speeds = new RunnerSpeeds({ nowMs })
+    this.#shares = new FairShares({ nowMs })
+    this.#refusedPrompts = new RefusedPrompts({ nowMs })
+    this.#requests = new RequestAverages({ nowMs })
+    this.#backlog = new Backlog({ nowMs, ...(options.random === undefined ? {} : { random: options.random }) })
   }
 
   get waitingCount (): number {
@@ -135,7 +141,9 @@
     }
     const { id, service, promptId } = request
     this.#requests.recordArrival(service, { promptTokens: request.promptTokens, outputTokens: expectedRemaining(request.output, 0) })
-    const firstRequestedMs = this.#refusedPrompts.firstRequestedMs(promptId) ?? nowMs
+    const refusedSinceMs = this.#refusedPrompts.firstRequestedMs(promptId)
+    if (refusedSinceMs === null) this.#shares.recordDemand(shareOf(request))
+    const firstRequestedMs = refusedSinceMs ?? nowMs
     this.#waiting.set(id, { request, onDecision, arrivedMs: nowMs, firstRequestedMs, objectiveMs: firstRequestedMs + request.objectiveLeftMs, expiresMs: nowMs + request.patienceMs, pausedUntilMs: new Map(request.pauses.map(({ server, leftMs }) => [server, nowMs + leftMs])) })
     // Behind a request that found no room a moment ago, it would find none either.
     if (this.#shortages.has(service)) this.#placeIfDue()
@@ -187,7 +195,7 @@
     for (const report of reports) {
       if (this.#runs.get(report.id) === undefined) this.#requests.recordSize(report.service, { promptTokens: report.promptTokens, outputTokens: expectedRemaining(report.output, 0) })
       const progress = this.#runs.recordProgress(report)
-      if (progress !== null) this.#speeds.recordDecodeStep(progress.service, progress)
+      if (progress !== null) this.#speeds.recordDecodeStep(progress.service, progress.decode, progress)
     }
   }
 
@@ -207,7 +215,7 @@
     for (const service of hasNoRunnerByService.keys()) this.#refuseHopeless(service)
   }
 
-  /** Places waiting requests: first those that can still be on time, by their objective, then late ones, by their arrival. */
+  /** Places waiting requests in the order of `compareClaims`. */
   placeWaiting (): void {
     const nowMs = this.#options.nowMs()
     if (this.#waiting.size === 0 || nowMs < this.#warmUpUntilMs) return
@@ -232,8 +240,7 @@
     if (pool === null) return
     const nowMs = this.#options.nowMs()
     this.#shortages.delete(service)
-    const candidates = waitingRequests.map((waiting) => ({ waiting, onTime: canBeOnTime(waiting, pool, nowMs) }))
-    for (const { waiting: { request, onDecision, pausedUntilMs }, onTime } of candidates.sort((a, b) => rankMs(a) - rankMs(b))) {
+    for (const { waiting: { request, onDecision, pausedUntilMs }, onTime } of this.#inOrder(service, waitingRequests, (waiting) => canBeOnTime(waiting, pool, nowMs))) {
       const run = this.#place(request, pool, onTime ? 1 : LATE_FILL_SHARE, ({ id }) => (pausedUntilMs.get(id) ?? -Infinity) <= nowMs)
       // The pass stops at the first request that does not fit, so that smaller requests behind it cannot starve it.
       if (typeof run === 'string') {
@@ -244,18 +251,32 @@
       }
       this.#waiting.delete(request.id)
       this.#runs.add(run)
+      this.#shares.recordPlacement(shareOf(request))
       onDecision({ prefill: run.prefill, decode: run.decode })
     }
   }
 
+  #inOrder (service: string, waitingRequests: WaitingRequest[], isOnTime: (waiting: WaitingRequest) => boolean): Array<WaitingClaim & { waiting: WaitingRequest }> {
+    const overShare = memoize((organisation: string) => this.#shares.isOverShare(service, organisation))
+    const underserved = memoize((priority: number) => this.#shares.isUnderserved(service, priority))
+    const claims = waitingRequests.map((waiting) => {
+      const { request: { organisation, priority }, objectiveMs, firstRequestedMs } = waiting
+      return { waiting, onTime: isOnTime(waiting), priority, isUnderserved: underserved(priority), isOverShare: overShare(organisation), objectiveMs, firstRequestedMs }
+    })
+    return claims.sort(compareClaims)
+  }
+
   #place (request: PlacementRequest, pool: RunnerPool, fillShare: number, mayUse: RunnerFilter): Run | Shortage {
-    const { id, service, promptTokens, output } = request
+    const { id, service, promptTokens, output, failureDomain } = request
     const memoryTokens = this.#options.engine(service)?.memoryTokens ?? 0
-    const memory: RunMemory = { heldTokens: promptTokens, remainingTokens: expectedRemaining(output, 0) }
-    const decodeRunner = pool.chooseDecode(memory, memoryTokens * (this.#options.memoryFillShare?.() ?? MEMORY_FILL_SHARE) * fillShare, mayUse)
-    if (decodeRunner === null) return pool.hasExhaustedLimit ? PlacementRefusal.RateLimited : PlacementRefusal.NoMemory
-    const prefillRunner = pool.choosePrefill(decodeRunner.backend, PREFILL_BACKLOG_MS, mayUse)
-    if (prefillRunner === 'busy') return PlacementRefusal.PrefillBusy
+    const memory: RunMemory = { heldTokens: promptTokens, remainingTokens: expectedRemaining(output, 0), spreadTokens: remainingSpread(output, 0) }
+    const limitTokens = memoryTokens * (this.#options.memoryFillShare?.() ?? MEMORY_FILL_SHARE) * fillShare
+    // Instances that place without knowing of each other would fill the runners of the domain with the most of them.
+    const preferredDomain = this.#options.placesBlindly?.() === true ? null : failureDomain
+    const pair = pool.choosePair({ memory, failureDomain: preferredDomain, limitTokens, maxPrefillWaitMs: PREFILL_BACKLOG_MS, mayUse })
+    if (pair === PairShortage.NoMemory) return pool.hasExhaustedLimit ? PlacementRefusal.RateLimited : PlacementRefusal.NoMemory
+    if (pair === PairShortage.PrefillBusy) return PlacementRefusal.PrefillBusy
+    const { decode: decodeRunner, prefill: prefillRunner } = pair
     for (const runner of [decodeRunner, prefillRunner]) if (runner !== null) this.#options.permits?.tryTake(runner.backend)
     const nowMs = this.#options.nowMs()
     const prefillStartMs = pool.addPrompt(promptTokens, prefillRunner)
@@ -281,10 +302,9 @@
     const nowMs = this.#options.nowMs()
     const prefill = this.#availableRunners(service, RunnerRole.Prefill).map((backend) => {
       const tokensPerMs = this.#speeds.expectedPrefillSpeed(service, backend.id)
-      const freeAtMs = Math.max(nowMs, ...this.#runs.prefillsOf(backend.id).map((run) => run.prefillStartMs + run.promptTokens / tokensPerMs))
-      return { backend, freeAtMs, tokensPerMs }
+      return { backend, freeAtMs: freeAtMs(this.#runs.prefillsOf(backend.id), tokensPerMs, nowMs), tokensPerMs }
     })
-    const decode = this.#availableRunners(service, RunnerRole.Decode).map((backend) => ({ backend, forecast: () => this.#runs.forecastOf(backend.id) }))
+    const decode = this.#availableRunners(service, RunnerRole.Decode).map((backend) => ({ backend, speed: this.#speeds.decodeSpeed(backend.id), forecast: () => this.#runs.forecastOf(backend.id) }))
     if (this.#options.placesBlindly?.() === true) for (const runners of [prefill, decode]) rotate(runners, this.#options.random ?? Math.random)
     return new RunnerPool({ prefill, decode, slots: engine.slots, nowMs, ...(permits === undefined ? {} : { mayTake: (backend) => permits.isAvailable(backend) }) })
   }
@@ -318,12 +338,12 @@
   /** The refusal of a request whose service has no decode runner that its instance may use, or whose prompt fits in no runner's memory; null for any other. */
   #immediateRefusal (request: PlacementRequest): RefusedPlacement | null {
     const engine = this.#options.engine(request.service)
-    if (engine === null || !this.#hasDecodeRunner(request.service)) return this.#refuse(PlacementRefusal.NoRunner, request.service)
-    if (request.promptTokens >= engine.memoryTokens) return this.#refuse(PlacementRefusal.TooLarge, request.service)
+    if (engine === null || !this.#hasDecodeRunner(request.service)) return this.#refuse(PlacementRefusal.NoRunner, request)
+    if (request.promptTokens >= engine.memoryTokens) return this.#refuse(PlacementRefusal.TooLarge, request)
     if (request.pauses.length === 0) return null
     const leftMsById = new Map(request.pauses.map(({ server, leftMs }) => [server, leftMs]))
     const shortestPauseMs = Math.min(...this.#options.backends.ready(request.service, RunnerRole.Decode).map(({ id }) => leftMsById.get(id) ?? 0))
-    if (shortestPauseMs > 0) return { ...this.#refuse(PlacementRefusal.Paused, request.service), retryAfterMs: shortestPauseMs }
+    if (shortestPauseMs > 0) return { ...this.#refuse(PlacementRefusal.Paused, request), retryAfterMs: shortestPauseMs }
     return null
   }
 
@@ -349,9 +369,12 @@
     if (load === null) return
     const nowMs = this.#options.nowMs()
     let ahead = 0
-    for (const waiting of [...this.#waiting.values()].filter(({ request }) => request.service === service).sort((a, b) => simpleRankMs(a, nowMs) - simpleRankMs(b, nowMs))) {
+    const waitingRequests = [...this.#waiting.values()].filter(({ request }) => request.service === service)
+    const arrivalsPerS = this.#requests.currentRate(service)
+    for (const { waiting, onTime } of this.#inOrder(service, waitingRequests, ({ objectiveMs }) => objectiveMs > nowMs)) {
+      const waitMs = onTime ? shortestWaitMs(load, ahead) : shortestLateWaitMs(load, ahead, arrivalsPerS)
       const isReturning = waiting.firstRequestedMs < waiting.arrivedMs
-      if (!isReturning && shortestWaitMs(load, ahead) > waiting.expiresMs - nowMs) this.#refuseWaiting(waiting, this.#shortageOf(service))
+      if (!isReturning && waitMs > waiting.expiresMs - nowMs) this.#refuseWaiting(waiting, this.#shortageOf(service))
       else ahead += 1
     }
   }
@@ -372,14 +395,14 @@
     return this.#shortages.get(service) ?? PlacementRefusal.NoMemory
   }
 
-  #refuseWaiting ({ request: { id, service, promptId }, onDecision, firstRequestedMs }: WaitingRequest, refusal: PlacementRefusal): void {
-    this.#waiting.delete(id)
-    this.#refusedPrompts.add(promptId, firstRequestedMs)
-    onDecision(this.#refuse(refusal, service))
+  #refuseWaiting ({ request, onDecision, firstRequestedMs }: WaitingRequest, refusal: PlacementRefusal): void {
+    this.#waiting.delete(request.id)
+    this.#refusedPrompts.add(request.promptId, firstRequestedMs)
+    onDecision(this.#refuse(refusal, request))
   }
 
-  #refuse (refusal: PlacementRefusal, service: string): RefusedPlacement {
-    return { refusal, retryAfterMs: this.#backlog.returnAfterMs(service, this.#loadOf(service), this.#waiting.size), waiting: this.#waiting.size, runs: this.#runs.size }
+  #refuse (refusal: PlacementRefusal, { service, longestReturnMs }: PlacementRequest): RefusedPlacement {
+    return { refusal, retryAfterMs: this.#backlog.returnAfterMs(service, this.#loadOf(service), this.#waiting.size, longestReturnMs), waiting: this.#waiting.size, runs: this.#runs.size }
   }
 
   /** Average request of a service and the measured speeds of its runners; null before enough of either is known, or without an engine configuration. */
@@ -437,12 +460,24 @@
   return objectiveMs - nowMs > promptMs + FIRST_EVENT_MS
 }
 
-/** The same order as by rankMs(), except that a request counts as on time until its objective has passed. */
-function simpleRankMs ({ objectiveMs, firstRequestedMs }: WaitingRequest, nowMs: number): number {
-  return objectiveMs > nowMs ? objectiveMs : LATE_RANK_OFFSET_MS + firstRequestedMs
+/** Time at which a prefill runner is expected to have processed its prompts, in milliseconds. One that is overdue is expected to take as long again as it is overdue, so that a runner that slows down for a moment does not count as free. */
+function freeAtMs (prefills: Run[], tokensPerMs: number, nowMs: number): number {
+  const lastEndMs = Math.max(nowMs, ...prefills.map((run) => run.prefillStartMs + run.promptTokens / tokensPerMs))
+  const [first] = prefills
+  if (first === undefined) return lastEndMs
+  const expectedMs = first.promptTokens / tokensPerMs
+  const overdueMs = nowMs - first.prefillStartMs - expectedMs
+  return overdueMs > PREFILL_OVERDUE_FACTOR * expectedMs ? lastEndMs + overdueMs : lastEndMs
+}
+
+function shareOf ({ service, organisation, priority, promptTokens, output }: PlacementRequest): ShareOfRequest {
+  return { service, organisation, priority, tokens: promptTokens + expectedRemaining(output, 0) }
 }
 
-/** Sort key of a waiting request: the objective if it can still be on time, otherwise the arrival of the caller's first attempt, behind all requests that are on time. */
-function rankMs ({ waiting, onTime }: { waiting: WaitingRequest, onTime: boolean }): number {
-  return onTime ? waiting.objectiveMs : LATE_RANK_OFFSET_MS + waiting.firstRequestedMs
+function memoize<K, V> (compute: (key: K) => V): (key: K) => V {
+  const values = new Map<K, V>()
+  return (key) => {
+    if (!values.has(key)) values.set(key, compute(key))
+    return values.get(key) as V
+  }
 }
--- a/src/gateway/placement.ts
+++ b/src/gateway/placement.ts
@@ -6,6 +6,10 @@
   id: string
   service: string
   failureDomain: string
+  /** Name of the caller's organisation; empty if the request has none. */
+  organisation: string
+  /** Priority of the organisation, or of the route if it has none; 0 is the most urgent. */
+  priority: number
   promptTokens: number
   output: OutputLength
   /** Identifies the prompt, the same when the caller retries with a new request id; null if unknown. */
@@ -14,6 +18,8 @@
   objectiveLeftMs: number
   /** Longest time that the request may wait in the scheduler before it is refused, in milliseconds. */
   patienceMs: number
+  /** Longest time after which the caller returns if it is refused, in milliseconds; null if unknown. */
+  longestReturnMs: number | null
   /** Runners that have turned the requesting instance away; other instances may use them. */
   pauses: RunnerPause[]
 }
--- a/src/gateway/prompt-prefill.ts
+++ b/src/gateway/prompt-prefill.ts
@@ -117,6 +117,7 @@
       deadlineMs,
       headTimeoutMs: Math.min(deadlineMs, PREFILL_TIMEOUT_MS),
       ownConnection,
+      priority: pending.priority,
       prefillOnly: true
     })
   }
--- a/src/gateway/role-balance.ts
+++ b/src/gateway/role-balance.ts
@@ -9,6 +9,12 @@
 /** Share of their capacity that the runners must have been asked for before one changes its role: below it, a change brings nothing, and the speeds under load are not known. */
 const MIN_USED_SHARE = 0.7
 
+/** The same for the change of a runner that its pool does not need; below it, the measured speeds are those of idle runners. */
+const MIN_SPARE_USED_SHARE = 0.35
+
+/** Factor by which a pool without one of its runners must exceed the capacity of the best split for that runner not to be needed: measured speeds and the mix of requests vary. */
+const MIN_SPARE_FACTOR = 1.25
+
 /** Time within which a role change must serve more additional requests than it has cost, in milliseconds; the load may be different later. */
 const PAYBACK_MS = 30_000
 
@@ -87,10 +93,12 @@
   if (best === null) return null
   const { backend, role, capacityPerS } = best
   const others = (pool: BackendServer[]): BackendServer[] => pool.filter((other) => other !== backend)
+  const shrunkPerS = role === RunnerRole.Decode ? poolCapacity(prefill.length - 1, Infinity, mix) : poolCapacity(Infinity, decode.length - 1, mix)
   const capacity = {
     before: limitedCapacity(prefill, decode, mix, limitPerS),
     during: limitedCapacity(others(prefill), others(decode), mix, limitPerS),
-    after: capacityPerS
+    after: capacityPerS,
+    isSpare: shrunkPerS >= capacityPerS * MIN_SPARE_FACTOR
   }
   return isWorthwhile(capacity, demand, changeMs, minGain) ? { backend, role } : null
 }
@@ -145,9 +153,10 @@
   return best
 }
 
-function isWorthwhile (capacity: { before: number, during: number, after: number }, demand: Demand | null, changeMs: number, minGain: number): boolean {
+function isWorthwhile (capacity: { before: number, during: number, after: number, isSpare: boolean }, demand: Demand | null, changeMs: number, minGain: number): boolean {
   if (demand === null) return capacity.after > capacity.before * Math.max(MIN_CAPACITY_GAIN, minGain)
-  if (demand.peakPerS < capacity.before * MIN_USED_SHARE) return false
+  // A change of a runner that is clearly not needed costs callers nothing, and the next burst needs its capacity.
+  if (demand.peakPerS < capacity.before * (capacity.isSpare ? MIN_SPARE_USED_SHARE : MIN_USED_SHARE)) return false
   const lostPerS = Math.max(0, Math.min(demand.currentPerS, capacity.before) - capacity.during)
   const usualGain = lostPerS === 0 ? MIN_FREE_CAPACITY_GAIN : MIN_CAPACITY_GAIN
   if (capacity.after <= capacity.before * Math.max(usualGain, minGain)) return false
--- a/src/gateway/run-table.ts
+++ b/src/gateway/run-table.ts
@@ -1,5 +1,5 @@
 import { MemoryForecast } from './memory-forecast.js'
-import { expectedRemaining, type OutputLength } from './output-length.js'
+import { expectedRemaining, type OutputLength, remainingSpread } from './output-length.js'
 import type { Placement, RunProgress } from './placement.js'
 
 /** Time without a progress report after which a run is taken to have ended, in milliseconds; covers several report periods. */
@@ -32,7 +32,11 @@
 /** How long a run took for its newest tokens, and how many runs its runner decoded meanwhile. */
 export interface MeasuredProgress {
   service: string
+  /** Id of the decode runner. */
+  decode: string
   msPerToken: number
+  /** Time over which the tokens were produced, in milliseconds. */
+  spanMs: number
   runs: number
 }
 
@@ -105,7 +109,7 @@
     Object.assign(run, { madeTokens: report.madeTokens, progressedMs: nowMs })
     this.#forecasts.delete(run.decode)
     if (spanMs < MIN_REPORT_SPAN_MS) return null
-    return { service: run.service, msPerToken: spanMs / newTokens, runs: this.#byDecode.get(run.decode)?.size ?? 1 }
+    return { service: run.service, decode: run.decode, msPerToken: spanMs / newTokens, spanMs, runs: this.#byDecode.get(run.decode)?.size ?? 1 }
   }
 
   /** Drops the runs without recent reports. */
@@ -125,7 +129,7 @@
     const known = this.#forecasts.get(runner)
     if (known !== undefined) return known
     this.computedForecasts += 1
-    const runs = [...this.#byDecode.get(runner) ?? []].map(({ promptTokens, madeTokens, output }) => ({ heldTokens: promptTokens + madeTokens, remainingTokens: expectedRemaining(output, madeTokens) }))
+    const runs = [...this.#byDecode.get(runner) ?? []].map(({ promptTokens, madeTokens, output }) => ({ heldTokens: promptTokens + madeTokens, remainingTokens: expectedRemaining(output, madeTokens), spreadTokens: remainingSpread(output, madeTokens) }))
     const forecast = new MemoryForecast({ runs })
     this.#forecasts.set(runner, forecast)
     return forecast
--- a/src/gateway/runner-pool.ts
+++ b/src/gateway/runner-pool.ts
@@ -1,6 +1,15 @@
 import type { BackendServer } from './backend.js'
 import type { MemoryForecast, RunMemory } from './memory-forecast.js'
 
+/** Cost of moving a prompt's KV cache to another failure domain, in milliseconds: the transfer takes twice as long there, and operators pay for the bytes. */
+const KV_CACHE_CROSSING_MS = 20
+
+/** Cost of a decode runner outside the failure domain of the requesting instance, in milliseconds: a longer way for each event, of a few bytes. */
+const STREAM_CROSSING_MS = 2
+
+/** Cost of a decode runner whose memory is full, compared with an empty one, in milliseconds: its steps take longer, and an answer longer than expected finds no room. */
+const FULL_MEMORY_MS = 100
+
 /** A prefill runner and the time at which it can start another prompt. */
 export interface PrefillRunner {
   backend: BackendServer
@@ -13,13 +22,41 @@
 /** A decode runner and the expected memory of its runs. */
 export interface DecodeRunner {
   backend: BackendServer
+  /** Its speed compared with the usual one of its service; 1 is the usual one. */
+  speed: number
   /** Called for each comparison, as a placement changes it. */
   forecast: () => MemoryForecast
 }
 
+export interface RunnerPair {
+  decode: DecodeRunner
+  /** Null if the decode runner has to process the prompt itself. */
+  prefill: PrefillRunner | null
+}
+
+/** What a pool lacks for a run. */
+export enum PairShortage {
+  /** No decode runner that may be used has memory and a free slot. */
+  NoMemory = 'no-memory',
+  /** No prefill runner that may be used is free soon enough. */
+  PrefillBusy = 'prefill-busy'
+}
+
 /** Whether the instance that requests a placement may use a runner. */
 export type RunnerFilter = (backend: BackendServer) => boolean
 
+/** A run for which a pair of runners is chosen. */
+interface AddedRun {
+  memory: RunMemory
+  /** Failure domain of the requesting instance; null if all are equal. */
+  failureDomain: string | null
+  /** Memory that the runs of a decode runner may fill together, in tokens. */
+  limitTokens: number
+  /** Longest backlog of a prefill runner that may get another prompt, in milliseconds. */
+  maxPrefillWaitMs: number
+  mayUse?: RunnerFilter
+}
+
 interface RunnerPoolOptions {
   prefill: PrefillRunner[]
   decode: DecodeRunner[]
@@ -46,52 +83,80 @@
     return prefill.length === 0 ? null : shortestMs
   }
 
-  /** The decode runner with a free slot whose peak memory with the added run is lowest; null if each would exceed the limit or has no free slot. */
-  chooseDecode (added: RunMemory, limitTokens: number, mayUse: RunnerFilter = () => true): DecodeRunner | null {
-    let best: DecodeRunner | null = null
-    let lowestPeak = limitTokens
+  /** The pair with the lowest cost in time: the wait for the prefill runner, the prompt at its speed, the memory of the decode runner, and the failure domains that are left. */
+  choosePair (added: AddedRun): RunnerPair | PairShortage {
+    const candidates = this.#decodeCandidates(added)
+    if (candidates.length === 0) return PairShortage.NoMemory
+    const { maxPrefillWaitMs, memory, mayUse = () => true, failureDomain, limitTokens } = added
+    const usable = this.#options.prefill.filter((runner) => this.#mayTake(runner) && mayUse(runner.backend))
+    const free = usable.filter((runner) => this.#waitMs(runner) <= maxPrefillWaitMs)
+    if (usable.length > 0 && free.length === 0) return PairShortage.PrefillBusy
+    let best: RunnerPair | null = null
+    let lowestMs = Infinity
+    for (const { runner: decode, load } of candidates) {
+      const decodeMs = load / limitTokens * FULL_MEMORY_MS + (failureDomain === null || decode.backend.failureDomain === failureDomain ? 0 : STREAM_CROSSING_MS)
+      const prefill = this.#bestPrefill(free, decode, memory.heldTokens)
+      const costMs = decodeMs + (prefill === null ? 0 : this.#prefillCostMs(prefill, decode, memory.heldTokens))
+      if (costMs > lowestMs) continue
+      lowestMs = costMs
+      best = { decode, prefill }
+    }
+    return best ?? PairShortage.NoMemory
+  }
+
+  /** Whether a decode runner is passed over because its limit is used up. */
+  get hasExhaustedLimit (): boolean {
+    return this.#options.decode.some((runner) => !this.#mayTake(runner))
+  }
+
+  /** Assigns a prompt to a prefill runner; returns the time at which its prefill is expected to start, in milliseconds. */
+  addPrompt (promptTokens: number, prefill: PrefillRunner | null): number {
+    if (prefill === null) return this.#options.nowMs
+    const startMs = Math.max(this.#options.nowMs, prefill.freeAtMs)
+    prefill.freeAtMs = startMs + promptTokens / prefill.tokensPerMs
+    return startMs
+  }
+
+  /** In each failure domain, the decode runner with memory and a free slot whose peak memory with the added run is lowest for its speed. A slow runner holds its runs longer, so it gets fewer. */
+  #decodeCandidates ({ memory, limitTokens, mayUse = () => true }: AddedRun): Array<{ runner: DecodeRunner, load: number }> {
+    const byDomain = new Map<string, { runner: DecodeRunner, load: number }>()
     for (const runner of this.#options.decode) {
       const forecast = runner.forecast()
       if (forecast.runCount >= this.#options.slots || !this.#mayTake(runner) || !mayUse(runner.backend)) continue
       // An empty runner accepts any run: one above the limit could otherwise never be placed.
       const isEmpty = forecast.runCount === 0
-      if (!isEmpty && forecast.heldTokens + added.heldTokens > lowestPeak) continue
-      const peak = isEmpty ? 0 : forecast.peakTokens(added)
-      if (peak > lowestPeak) continue
-      lowestPeak = peak
+      const lowestLoad = byDomain.get(runner.backend.failureDomain)?.load ?? Infinity
+      if (!isEmpty && forecast.heldTokens + memory.heldTokens > Math.min(limitTokens, lowestLoad * runner.speed)) continue
+      const peakTokens = isEmpty ? memory.heldTokens : forecast.safePeakTokens(memory)
+      const load = peakTokens / runner.speed
+      if ((!isEmpty && peakTokens > limitTokens) || load > lowestLoad) continue
+      byDomain.set(runner.backend.failureDomain, { runner, load })
+    }
+    return [...byDomain.values()]
+  }
+
+  #bestPrefill (runners: PrefillRunner[], decode: DecodeRunner, promptTokens: number): PrefillRunner | null {
+    let best: PrefillRunner | null = null
+    let lowestMs = Infinity
+    for (const runner of runners) {
+      const costMs = this.#prefillCostMs(runner, decode, promptTokens)
+      if (costMs >= lowestMs) continue
+      lowestMs = costMs
       best = runner
     }
     return best
   }
 
-  /** The prefill runner that becomes free first, preferably in the decode runner's failure domain; 'busy' if none is free within `maxWaitMs` milliseconds, null if there is none that may be used. */
-  choosePrefill (decode: BackendServer, maxWaitMs: number, mayUse: RunnerFilter = () => true): PrefillRunner | 'busy' | null {
-    const { prefill, nowMs } = this.#options
-    const distance = ({ backend }: PrefillRunner): number => backend.failureDomain === decode.failureDomain ? 0 : 1
-    const waitMs = ({ freeAtMs }: PrefillRunner): number => Math.max(0, freeAtMs - nowMs)
-    let first: PrefillRunner | null = null
-    for (const runner of prefill) {
-      if (!this.#mayTake(runner) || !mayUse(runner.backend)) continue
-      if (first === null || waitMs(runner) - waitMs(first) < 0 || (waitMs(runner) === waitMs(first) && distance(runner) < distance(first))) first = runner
-    }
-    if (first === null) return null
-    return waitMs(first) > maxWaitMs ? 'busy' : first
+  #prefillCostMs (prefill: PrefillRunner, decode: DecodeRunner, promptTokens: number): number {
+    const crossingMs = prefill.backend.failureDomain === decode.backend.failureDomain ? 0 : KV_CACHE_CROSSING_MS
+    return this.#waitMs(prefill) + promptTokens / prefill.tokensPerMs + crossingMs
   }
 
-  /** Whether a decode runner is passed over because its limit is used up. */
-  get hasExhaustedLimit (): boolean {
-    return this.#options.decode.some((runner) => !this.#mayTake(runner))
+  #waitMs ({ freeAtMs }: PrefillRunner): number {
+    return Math.max(0, freeAtMs - this.#options.nowMs)
   }
 
   #mayTake ({ backend }: { backend: BackendServer }): boolean {
     return this.#options.mayTake?.(backend) ?? true
   }
-
-  /** Assigns a prompt to a prefill runner; returns the time at which its prefill is expected to start, in milliseconds. */
-  addPrompt (promptTokens: number, prefill: PrefillRunner | null): number {
-    if (prefill === null) return this.#options.nowMs
-    const startMs = Math.max(this.#options.nowMs, prefill.freeAtMs)
-    prefill.freeAtMs = startMs + promptTokens / prefill.tokensPerMs
-    return startMs
-  }
 }
--- a/src/gateway/runner-speeds.ts
+++ b/src/gateway/runner-speeds.ts
@@ -1,4 +1,5 @@
 import { medianOf, RecentValues } from './recent-values.js'
+import { RelativeSpeed } from './relative-speed.js'
 
 /** Prefill speed assumed before the first measured prefill, in prompt tokens per millisecond. */
 const INITIAL_PREFILL_TOKENS_PER_MS = 50
@@ -24,6 +25,9 @@
 /** Least difference in runs between slower and faster steps from which their dependence on the number of runs is derived; below it, the spread of the measurements hides it. */
 const MIN_RUNS_DIFFERENCE = 2
 
+/** Number of recorded steps of a service after which its usual time for a token is computed anew; it changes slowly and is needed for each report. */
+const STEPS_PER_USUAL = 50
+
 /** Time for each output token of a run, measured while its runner decoded this number of runs. */
 interface DecodeStep {
   runs: number
@@ -42,12 +46,21 @@
   prefills: PrefillSpeeds
   /** Measured times for a token by the number of runs. */
   stepsByRuns: Map<number, RecentValues<number>>
+  /** Usual time for a token by the number of runs, in milliseconds; null while it is unknown. */
+  usualMsPerToken: Map<number, number | null>
+  stepsSinceUsual: number
 }
 
 /** Speeds of the runners, measured on the work that this fleet has done. */
 export class RunnerSpeeds {
   readonly #prefillsByRunner = new Map<string, PrefillSpeeds>()
   readonly #services = new Map<string, ServiceSpeeds>()
+  readonly #decodeSpeeds = new Map<string, RelativeSpeed>()
+  readonly #nowMs: () => number
+
+  constructor (options: { nowMs: () => number }) {
+    this.#nowMs = options.nowMs
+  }
 
   /** Records a prefill; `queued` is true if its prompt had to wait for the previous one at its runner, with whose end the time of this one begins. */
   recordPrefill (service: string, runner: string, { tokensPerMs, queued }: { tokensPerMs: number, queued: boolean }): void {
@@ -56,11 +69,37 @@
     for (const speeds of [own, this.#speedsOf(service).prefills]) (queued ? speeds.queued : speeds.alone).add(tokensPerMs)
   }
 
-  recordDecodeStep (service: string, { runs, msPerToken }: DecodeStep): void {
-    const { stepsByRuns } = this.#speedsOf(service)
-    const steps = stepsByRuns.get(runs) ?? new RecentValues<number>({ maxValues: MAX_STEPS_PER_RUNS })
-    stepsByRuns.set(runs, steps)
+  /** Records the progress of a run on a decode runner, over `spanMs` milliseconds. */
+  recordDecodeStep (service: string, runner: string, { runs, msPerToken, spanMs }: DecodeStep & { spanMs: number }): void {
+    const speeds = this.#speedsOf(service)
+    const steps = speeds.stepsByRuns.get(runs) ?? new RecentValues<number>({ maxValues: MAX_STEPS_PER_RUNS })
+    speeds.stepsByRuns.set(runs, steps)
     steps.add(msPerToken)
+    speeds.stepsSinceUsual += 1
+    const usualMs = this.#usualMsPerToken(service, runs)
+    if (usualMs === null) return
+    const own = this.#decodeSpeeds.get(runner) ?? new RelativeSpeed({ nowMs: this.#nowMs })
+    this.#decodeSpeeds.set(runner, own)
+    own.record({ expectedMs: spanMs * usualMs / msPerToken, takenMs: spanMs })
+  }
+
+  /** Speed of a decode runner compared with the usual one of its service with as many runs; 1 before it has been measured. */
+  decodeSpeed (runner: string): number {
+    return this.#decodeSpeeds.get(runner)?.value ?? 1
+  }
+
+  /** Usual time for a token with this number of runs, in milliseconds; null before enough steps. */
+  #usualMsPerToken (service: string, runs: number): number | null {
+    const speeds = this.#speedsOf(service)
+    if (speeds.stepsSinceUsual >= STEPS_PER_USUAL) {
+      speeds.usualMsPerToken.clear()
+      speeds.stepsSinceUsual = 0
+    }
+    const known = speeds.usualMsPerToken.get(runs)
+    if (known !== undefined) return known
+    const usualMs = this.msPerToken(service, runs)
+    speeds.usualMsPerToken.set(runs, usualMs)
+    return usualMs
   }
 
   /** Expected speed of one prefill runner, in prompt tokens per millisecond: its own if enough prefills were measured, else that of its service, else an assumption. */
@@ -89,9 +128,11 @@
     return Math.max(Math.min(few.msPerToken, many.msPerToken) / 2, many.msPerToken + slope * (runs - many.runs))
   }
 
-  /** Deletes the measurements of all prefill runners except the given ones; those of the services are kept. */
+  /** Deletes the measurements of all runners except the given ones; those of the services are kept. */
   retain (runners: Set<string>): void {
-    for (const runner of this.#prefillsByRunner.keys()) if (!runners.has(runner)) this.#prefillsByRunner.delete(runner)
+    for (const table of [this.#prefillsByRunner, this.#decodeSpeeds]) {
+      for (const runner of table.keys()) if (!runners.has(runner)) table.delete(runner)
+    }
   }
 
   #speedsOf (service: string): ServiceSpeeds {
@@ -99,7 +140,9 @@
     if (existing !== undefined) return existing
     const speeds = {
       prefills: newPrefillSpeeds(MAX_SERVICE_PREFILLS),
-      stepsByRuns: new Map<number, RecentValues<number>>()
+      stepsByRuns: new Map<number, RecentValues<number>>(),
+      usualMsPerToken: new Map<number, number | null>(),
+      stepsSinceUsual: 0
     }
     this.#services.set(service, speeds)
     return speeds
--- a/src/gateway/stream-forwarding.ts
+++ b/src/gateway/stream-forwarding.ts
@@ -137,7 +137,9 @@
     })
     if (pending.mayHaveRun) return pending.refuse(GatewayRefusal.OutcomeUnknown)
     const refusal = gatewayRefusals[decision.refusal] ?? GatewayRefusal.Overloaded
-    pending.refuse(refusal, decision.retryAfterMs + RETRY_AFTER_MS * this.#context.random())
+    // A delay beyond the longest one would bring all callers back at the same moment.
+    const longestMs = Math.max(decision.retryAfterMs, pending.longestReturnMs)
+    pending.refuse(refusal, Math.min(longestMs, decision.retryAfterMs + RETRY_AFTER_MS * this.#context.random()))
   }
 
   get #sharedParts (): string[] {
@@ -242,6 +244,7 @@
       deadlineMs,
       headTimeoutMs: deadlineMs,
       ownConnection: true,
+      priority: pending.priority,
       kvCache,
       lastEventId: this.#eventSplitter.lastEventId
     })
--- a/test/gateway/load-patterns/load-model.ts
+++ b/test/gateway/load-patterns/load-model.ts
@@ -151,7 +151,7 @@
     const id = `q${this.#result.asked}`
     const outputTokens = vary(this.#load.outputTokens, 0.6)
     const run = { id, arrivedMs: this.#clock.ms, promptTokens: vary(this.#load.promptTokens, 0.5), outputTokens, madeTokens: 0, decode: '', prefill: null, firstEventMs: null }
-    this.#submit(run, { id, service: 'model', failureDomain: 'a', promptTokens: run.promptTokens, output: { estimateTokens: outputTokens, maxTokens: 2 * outputTokens }, promptId: id, objectiveLeftMs: OBJECTIVE_MS, patienceMs: PATIENCE_MS, pauses: [] }, true)
+    this.#submit(run, { id, service: 'model', failureDomain: 'a', organisation: '', priority: 0, longestReturnMs: null, promptTokens: run.promptTokens, output: { estimateTokens: outputTokens, maxTokens: 2 * outputTokens }, promptId: id, objectiveLeftMs: OBJECTIVE_MS, patienceMs: PATIENCE_MS, pauses: [] }, true)
   }
 
   #submit (run: ModelRun, request: PlacementRequest, mayReturn: boolean): void {
--- a/test/gateway/load-patterns/restart-of-all.test.ts
+++ b/test/gateway/load-patterns/restart-of-all.test.ts
@@ -24,7 +24,7 @@
       placesBlindly: () => true
     })
     for (let index = 0; index < requestsPerInstance; index += 1) {
-      scheduler.submit({ id: `q${instance}-${index}`, service: 'model', failureDomain: 'a', promptTokens: PROMPT_TOKENS, output: { estimateTokens: 600, maxTokens: 1200 }, promptId: null, objectiveLeftMs: 900, patienceMs: 2300, pauses: [] }, (decision) => {
+      scheduler.submit({ id: `q${instance}-${index}`, service: 'model', failureDomain: 'a', organisation: '', priority: 0, longestReturnMs: null, promptTokens: PROMPT_TOKENS, output: { estimateTokens: 600, maxTokens: 1200 }, promptId: null, objectiveLeftMs: 900, patienceMs: 2300, pauses: [] }, (decision) => {
         if ('decode' in decision) runs.set(decision.decode, (runs.get(decision.decode) ?? 0) + 1)
       })
     }
--- a/test/platform/malformed-messages.test.ts
+++ b/test/platform/malformed-messages.test.ts
@@ -53,7 +53,7 @@
     { kind: PeerDatagramKind.Heartbeat, status: { ip: '10.0.0.2', failureDomain: 'a', callers: '10.0.0.2:1', ready: true, configurationVersion: 1, storeRevision: 4, reachesStore: true, processorShare: 1 }, known: ['10.0.0.3'], sightings: { ips: Uint32Array.of(167772164), ages: Uint8Array.of(1), ready: Uint8Array.of(1) } },
     { kind: PeerDatagramKind.StoreState, era: 0, revision: 9, reachesStore: true, fromRevision: 4, changes: [], graceLeftMs: 0 },
     { kind: PeerDatagramKind.Report, runs: [{ id: 'q', service: 'model', decode: 'd', promptTokens: 10, output: { estimateTokens: null, maxTokens: 10 }, madeTokens: 1 }] },
-    { kind: PeerDatagramKind.Place, request: { id: 'q', service: 'model', failureDomain: 'a', promptTokens: 10, output: { estimateTokens: null, maxTokens: 10 }, promptId: null, objectiveLeftMs: 1, patienceMs: 1, pauses: [] } },
+    { kind: PeerDatagramKind.Place, request: { id: 'q', service: 'model', failureDomain: 'a', organisation: '', priority: 0, longestReturnMs: null, promptTokens: 10, output: { estimateTokens: null, maxTokens: 10 }, promptId: null, objectiveLeftMs: 1, patienceMs: 1, pauses: [] } },
     { kind: PeerDatagramKind.Leaving, servers: [{ server: 'b', ageMs: 1 }] }
   ]
   const mutated = fc.tuple(fc.constantFrom(...valid), fc.array(fc.tuple(fc.nat(), fc.nat(255)), { maxLength: 4 }), fc.nat(200)).map(([message, changes, cut]) => {
