--- a/src/gateway/backend-client.ts
+++ b/src/gateway/backend-client.ts
@@ -21,8 +21,12 @@
   headTimeoutMs: number
   /** Opens a new connection for this request only. */
   ownConnection: boolean
+  /** Name of the organisation whose key the caller sent; null or undefined on a route that needs none. */
+  organisation?: string | null
   /** Asked just before the request is written; if it returns false, the request is not sent. */
   maySend?: () => boolean
+  /** Urgency of a model request at its runner, 0 is the most urgent; by it the runner chooses which run yields when memory runs out. */
+  priority?: number
   /** Runs only the prefill, without decoding. */
   prefillOnly?: boolean
   /** KV cache of the prompt, if a prefill runner has computed it. */
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -16,12 +16,13 @@
 import type { PeerSnapshot } from './peer-snapshot.js'
 import { PendingRequest } from './pending-request.js'
 import { PlaceSharing } from './place-sharing.js'
-import { schedulerHandlers, PlacementClient } from './placement-client.js'
+import { answerPlacementRequest, schedulerHandlers, PlacementClient } from './placement-client.js'
 import { MEMORY_FILL_SHARE, PlacementScheduler } from './placement-scheduler.js'
 import { forwardPlain } from './plain-forwarding.js'
 import { GatewayRefusal, refusalStatus } from './refusal.js'
 import type { PromptQuarantine } from './prompt-quarantine.js'
 import { QuarantineSharing } from './quarantine-sharing.js'
+import { endAfterFault } from './request-fault.js'
 import { RetryBudget } from './retry-budget.js'
 import { RoleRebalancer } from './role-rebalancer.js'
 import { chooseService, longestWaitMs, RouteTable } from './route-table.js'
@@ -33,8 +34,11 @@
 import { StartupQueue } from './startup-queue.js'
 import { forwardStream, type StreamForwardingContext } from './stream-forwarding.js'
 import { LeavingSharing } from './leaving-sharing.js'
+import { KeyCheck } from './key-check.js'
 import { LateAcceptance } from './late-acceptance.js'
 import { LimitSharing } from './limit-sharing.js'
+import { QuotaCheck } from './quota-check.js'
+import { QuotaSharing } from './quota-sharing.js'
 import { StoreRelay } from './store-relay.js'
 import { StoreView } from './store-view.js'
 
@@ -75,6 +79,8 @@
   readonly #quarantineSharing: QuarantineSharing
   readonly limitSharing: LimitSharing
   readonly leavingSharing: LeavingSharing
+  readonly quotaSharing: QuotaSharing
+  readonly #quotaCheck: QuotaCheck
   readonly placeSharing: PlaceSharing
   /** Servers that have turned this instance away for a time. */
   readonly pauses: ServerPauses
@@ -88,6 +94,7 @@
   readonly #configurationLag: ConfigurationLag
   readonly #startedMs: number
   #stopping = false
+  readonly #keyCheck = new KeyCheck({ routes: () => this.#routes, mayLackNewKeys: () => this.configurationBehindMs > 0 })
   readonly #lateAcceptance = new LateAcceptance({ nowMs: () => this.#options.nowMs() })
   #refusesNewRequests = false
   readonly #startupQueue = new StartupQueue({
@@ -112,6 +119,8 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
+    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: () => settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
+    this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
     this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, log, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
     this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
@@ -147,6 +156,7 @@
       nowMs,
       random: options.random,
       metrics: options.metrics,
+      keyCheck: this.#keyCheck,
       limits: this.limitSharing.limits,
       limitClient: this.limitSharing.client,
       pauses: this.pauses,
@@ -303,6 +313,7 @@
     this.#quarantineSharing.sendChanges(this.instances.knownAddresses())
     this.limitSharing.sendChanges(this.instances.knownAddresses())
     this.#coordinatedServices.update(this.#configuration)
+    this.quotaSharing.tick(this.#configuration)
     this.storeRelay.tick()
     if (!this.#storeView.reachesStore && !this.storeRelay.needsStore()) this.recordStoreReachability(true)
     if (this.#storeView.reachesStore && !this.#stopping) this.#rebalanceRoles()
@@ -318,8 +329,9 @@
   handleDatagram (from: string, message: PeerDatagram): void {
     if (message.kind === PeerDatagramKind.Heartbeat) return this.heartbeats.receive(from, message)
     if (message.kind === PeerDatagramKind.Suspects) return this.quarantine.merge(from, message.suspects)
-    if (this.storeRelay.handleDatagram(from, message) || this.limitSharing.handleDatagram(from, message) || this.leavingSharing.handleDatagram(from, message) || this.placeSharing.handleDatagram(from, message)) return
-    if (message.kind === PeerDatagramKind.Place) return this.#handlePlacementRequest(from, message)
+    const isHandled = [this.storeRelay, this.limitSharing, this.leavingSharing, this.quotaSharing, this.placeSharing].some((sharing) => sharing.handleDatagram(from, message))
+    if (isHandled) return
+    if (message.kind === PeerDatagramKind.Place) return answerPlacementRequest(this.#scheduler, message.request, (answer) => this.#options.send([from], answer))
     const handler = schedulerHandlers[message.kind] as ((scheduler: PlacementScheduler, message: PeerDatagram) => void) | undefined
     if (handler === undefined) this.#placementClient.handleAnswer(message)
     else handler(this.#scheduler, message)
@@ -337,9 +349,11 @@
     if (this.#refusesNewRequests || !this.#lateAcceptance.accepts(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.Stopping, RETRY_ELSEWHERE_MS)
     // It may have waited behind another request on its connection, or for the first configuration.
     if (this.#options.nowMs() - request.arrivedMs >= longestWaitMs(request, route)) return this.#refuseImmediately(request, responder, GatewayRefusal.TimedOutBeforeRun, null)
+    const organisation = this.#keyCheck.organisationOf(request, route)
+    if (organisation === undefined) return this.#refuseImmediately(request, responder, ...this.#keyCheck.refusalOf(request))
     const service = chooseService(route, this.#options.random())
     if (service === undefined) return this.#refuseImmediately(request, responder, GatewayRefusal.NoServer, RETRY_ELSEWHERE_MS)
-    const pending = new PendingRequest({ request, route, service, responder, nowMs: this.#options.nowMs })
+    const pending = new PendingRequest({ request, route, service, organisation, responder, nowMs: this.#options.nowMs })
     this.#pendingRequests.add(pending)
     pending.onEnd = (ending) => {
       this.#pendingRequests.delete(pending)
@@ -347,23 +361,15 @@
       this.#options.metrics.countEnd(route.kind, ending, pending.ageMs())
       this.#options.log.info('request.ended', { ...pending.endFields(ending), configuration: this.#routes?.version ?? -1, storeRevision: this.storePosition.revision })
     }
+    this.#quotaCheck.whenAdmitted(pending, () => this.#forward(pending))
+  }
+
+  #forward (pending: PendingRequest): void {
+    const { request, route, service } = pending
     this.#forwardingContext.retryBudget.recordRequest(service)
     const isModelRequest = request.generationParameters !== null && this.#routes?.service(service)?.engine != null
     const forwarded = route.kind === RouteKind.Streaming && isModelRequest ? forwardStream(this.#forwardingContext, pending) : forwardPlain(this.#forwardingContext, pending)
-    forwarded.catch((error: unknown) => {
-      this.#options.log.error('request.fault', { request: request.id, detail: error instanceof Error ? String(error.stack) : String(error) })
-      this.#endAfterFault(pending)
-    })
-  }
-
-  /** The fault may have occurred after the request was written, so it can't be said that it has not run. */
-  #endAfterFault (pending: PendingRequest): void {
-    try {
-      pending.refuse(GatewayRefusal.OutcomeUnknown)
-    } catch (error) {
-      this.#options.log.error('request.fault', { request: pending.request.id, detail: String(error) })
-      pending.abort(GatewayRefusal.OutcomeUnknown)
-    }
+    forwarded.catch((error: unknown) => endAfterFault(pending, error, this.#options.log))
   }
 
   /** Begins the shutdown: the instance is no longer ready, is not listed in the directory and coordinates no service. Requests that may end before `exitMs` are still served. */
@@ -396,22 +402,11 @@
       limits: this.limitSharing.limits.reports(),
       leaving: this.leavingSharing.notices.reports(),
       pauses: this.pauses.list(this.backends.all()),
+      quotas: this.quotaSharing.dump(),
       desk: this.#scheduler.dump()
     }
   }
 
-  #handlePlacementRequest (from: string, { request }: Extract<PeerDatagram, { kind: PeerDatagramKind.Place }>): void {
-    const { id } = request
-    const placement = this.#scheduler.placementOf(id)
-    if (placement !== null) return this.#options.send([from], { kind: PeerDatagramKind.Placed, id, ...placement })
-    const isWaiting = this.#scheduler.isWaiting(id) || this.#scheduler.submit(request, (decision) => {
-      this.#options.send([from], 'refusal' in decision
-        ? { kind: PeerDatagramKind.Refused, id, ...decision }
-        : { kind: PeerDatagramKind.Placed, id, ...decision })
-    })
-    if (isWaiting) this.#options.send([from], { kind: PeerDatagramKind.Waiting, id })
-  }
-
   #trackConfigurationLag (): void {
     const { configurationVersion: own, storeRevision, reachesStore } = this.status()
     const newest = Math.max(own, ...this.instances.live().map(({ configurationVersion }) => configurationVersion))
--- a/src/gateway/peer-datagram.ts
+++ b/src/gateway/peer-datagram.ts
@@ -37,6 +37,12 @@
   Admit = 'admit',
   /** Answers a request for a permit. */
   Admitted = 'admitted',
+  /** Requests units of an organisation's quota from the instance that coordinates it, tells it of units that were used, or returns some. */
+  QuotaRequest = 'quota-request',
+  /** Answers a request for units of a quota. */
+  QuotaAnswer = 'quota-answer',
+  /** Tells the instances that may follow a coordinator how full its buckets are. */
+  QuotaFill = 'quota-fill',
   /** Requests a place at a server of a plain service from the coordinator of its group. */
   TakePlace = 'take-place',
   /** Answers that a request for a place waits. */
@@ -90,11 +96,15 @@
       id: z.string(),
       service: z.string(),
       failureDomain: z.string(),
+      // Instances of older versions name neither.
+      organisation: z.string().default(''),
+      priority: z.number().default(0),
       promptTokens: z.number(),
       output: outputLengthSchema,
       promptId: z.string().nullable(),
       objectiveLeftMs: z.number(),
       patienceMs: z.number(),
+      longestReturnMs: z.number().nullable().default(null),
       // Instances of older versions name none.
       pauses: z.array(z.object({ server: z.string(), leftMs: z.number() })).default([])
     })
@@ -140,6 +150,18 @@
   z.object({ kind: z.literal(PeerDatagramKind.PlaceRefused), id: z.string(), retryAfterMs: z.number() }),
   z.object({ kind: z.literal(PeerDatagramKind.ReturnPlace), id: z.string(), use: z.object({ outcome: z.enum(ExchangeOutcome), durationMs: z.number() }).nullable() }),
   z.object({ kind: z.literal(PeerDatagramKind.Admitted), id: z.string(), admitted: z.boolean(), waitMs: z.number() }),
+  z.object({
+    kind: z.literal(PeerDatagramKind.QuotaRequest),
+    id: z.string(),
+    organisation: z.string(),
+    cost: z.number(),
+    spent: z.boolean(),
+    perS: z.number().nonnegative(),
+    burst: z.number().nonnegative(),
+    version: z.number()
+  }),
+  z.object({ kind: z.literal(PeerDatagramKind.QuotaAnswer), id: z.string(), granted: z.boolean(), waitMs: z.number().nonnegative().nullable() }),
+  z.object({ kind: z.literal(PeerDatagramKind.QuotaFill), buckets: z.array(z.object({ organisation: z.string(), fill: z.number() })) }),
   z.object({
     kind: z.literal(PeerDatagramKind.Suspects),
     suspects: z.array(z.object({
--- a/src/gateway/pending-request.ts
+++ b/src/gateway/pending-request.ts
@@ -1,5 +1,5 @@
 import type { CallerRequest, Responder } from './caller-request.js'
-import type { Route } from './configuration.js'
+import type { Organisation, Route } from './configuration.js'
 import type { Exchange, ResponseHead } from './http-exchange.js'
 import type { LogFields } from '../logs/log.js'
 import { GatewayRefusal } from './refusal.js'
@@ -8,10 +8,15 @@
 /** Extra wait past the deadline, in milliseconds. A server that stops at the deadline sends a response of its own; the gateway refuses the request only if that response does not arrive in this time. */
 const FINAL_RESPONSE_MARGIN_MS = 40
 
+/** Share of its remaining time after which a refused caller returns at the latest, whatever it is told. */
+const LONGEST_RETURN_SHARE = 1 / 3
+
 interface PendingRequestOptions {
   request: CallerRequest
   route: Route
   service: string
+  /** The organisation whose key the request has; null on a route that needs none. */
+  organisation?: Organisation | null
   responder: Responder
   nowMs: () => number
 }
@@ -21,9 +26,12 @@
   readonly request: CallerRequest
   readonly route: Route
   readonly service: string
+  readonly organisation: Organisation | null
   readonly responder: Responder
   /** True once a server may have run the request; a prefill alone does not count. */
   mayHaveRun = false
+  /** True once a send to a server, also of a prefill, has begun. */
+  sendStarted = false
   /** Number of sends of which no outcome is known although the request may have been written; prefills do not count. */
   openSends = 0
   /** Ids of the servers to which the request was sent, for the route's limit of attempts; prefills do not count. */
@@ -40,6 +48,7 @@
     this.request = options.request
     this.route = options.route
     this.service = options.service
+    this.organisation = options.organisation ?? null
     this.responder = options.responder
     this.#nowMs = options.nowMs
     this.#timer = setTimeout(() => this.#handleTimeout(), this.remainingMs() + FINAL_RESPONSE_MARGIN_MS)
@@ -54,10 +63,15 @@
     Object.assign(this.logFields, fields)
   }
 
+  /** Priority of its organisation, or of its route if that has none; 0 is the most urgent. */
+  get priority (): number {
+    return this.organisation?.priority ?? this.route.priority
+  }
+
   /** Fields of the log line that is written when the request ends. */
   endFields (ending: string): LogFields {
-    const { request, route, service, sentTo, logFields } = this
-    return { request: request.id, route: route.name, service, ending, ms: Math.round(this.ageMs()), sentTo: [...sentTo].join(',') || 'none', ...logFields }
+    const { request, route, service, organisation, sentTo, logFields } = this
+    return { request: request.id, route: route.name, service, ...(organisation === null ? {} : { organisation: organisation.name }), ending, ms: Math.round(this.ageMs()), sentTo: [...sentTo].join(',') || 'none', ...logFields }
   }
 
   /** How the request ended, for its log line; null while it is pending. */
@@ -97,6 +111,11 @@
     return Math.max(0, longestWaitMs(this.request, this.route) - this.ageMs())
   }
 
+  /** Longest time after which the caller returns if it is refused now, in milliseconds. */
+  get longestReturnMs (): number {
+    return LONGEST_RETURN_SHARE * this.remainingMs()
+  }
+
   /** Time since the request arrived, in milliseconds. */
   ageMs (): number {
     return this.#nowMs() - this.request.arrivedMs
--- a/src/gateway/placement-client.ts
+++ b/src/gateway/placement-client.ts
@@ -224,17 +224,20 @@
   }
 
   #placementRequestOf (pending: PendingRequest): PlacementRequest {
-    const { request, route, service } = pending
+    const { request, route, service, organisation } = pending
     const parameters = request.generationParameters
     return {
       id: request.id,
       service,
       failureDomain: this.#options.failureDomain,
+      organisation: organisation?.name ?? '',
+      priority: pending.priority,
       promptTokens: parameters?.promptTokens ?? 0,
       output: { estimateTokens: parameters?.estimatedOutputTokens ?? null, maxTokens: parameters?.maxOutputTokens ?? 0 },
       promptId: parameters?.promptId ?? null,
       objectiveLeftMs: route.targetLatencyMs - pending.ageMs(),
       patienceMs: Math.min(MAX_WAIT_SHARE_OF_GIVE_UP_TIME * giveUpMs(route) - FIRST_EVENT_RESERVE_MS, MAX_WAIT_SHARE_OF_REMAINING_TIME * pending.remainingMs()),
+      longestReturnMs: pending.longestReturnMs,
       pauses: this.#options.pauses(service)
     }
   }
@@ -343,6 +346,17 @@
   return Math.max(MIN_GIVE_UP_MS, GIVE_UP_LATENCY_FACTOR * targetLatencyMs, GIVE_UP_PAUSE_FACTOR * longestPauseMs)
 }
 
+/** Answers another instance's placement request, now and again with the decision if it has to wait; an answer that was lost is sent anew. */
+export function answerPlacementRequest (scheduler: PlacementScheduler, request: PlacementRequest, answer: (message: PeerDatagram) => void): void {
+  const { id } = request
+  const placement = scheduler.placementOf(id)
+  if (placement !== null) return answer({ kind: PeerDatagramKind.Placed, id, ...placement })
+  const isWaiting = scheduler.isWaiting(id) || scheduler.submit(request, (decision) => {
+    answer('refusal' in decision ? { kind: PeerDatagramKind.Refused, id, ...decision } : { kind: PeerDatagramKind.Placed, id, ...decision })
+  })
+  if (isWaiting) answer({ kind: PeerDatagramKind.Waiting, id })
+}
+
 type SchedulerHandlers = { [K in PeerDatagramKind]?: (scheduler: PlacementScheduler, message: Extract<PeerDatagram, { kind: K }>) => void }
 
 /** Handlers of the messages that get no answer; each applies its message to the coordinator's scheduler. */
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -3,7 +3,15 @@
   NoConfiguration = 'no-configuration',
   UnknownRoute = 'unknown-route',
   Malformed = 'malformed',
+  /** The request has no key of an organisation, or one that the active configuration does not hold. */
+  UnknownKey = 'unknown-key',
+  /** The request has a key that the active configuration does not hold, but a newer configuration may. */
+  KeyNotYetKnown = 'key-not-yet-known',
   BodyTooLarge = 'body-too-large',
+  /** The organisation has used up its quota. */
+  OverQuota = 'over-quota',
+  /** No instance that keeps the quota of the organisation has answered. */
+  QuotaUndecided = 'quota-undecided',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
   /** The request could not be placed on runners, or on plain servers in the time that it has. */
@@ -33,7 +41,11 @@
   [GatewayRefusal.NoConfiguration]: 503,
   [GatewayRefusal.UnknownRoute]: 404,
   [GatewayRefusal.Malformed]: 400,
+  [GatewayRefusal.UnknownKey]: 401,
+  [GatewayRefusal.KeyNotYetKnown]: 503,
   [GatewayRefusal.BodyTooLarge]: 413,
+  [GatewayRefusal.OverQuota]: 429,
+  [GatewayRefusal.QuotaUndecided]: 503,
   [GatewayRefusal.NoServer]: 503,
   [GatewayRefusal.Overloaded]: 503,
   [GatewayRefusal.CrashingPrompt]: 503,
