Order organisations by how much of their share they have had, and test competing callers in virtual time

Cause: an organisation was within its share or over it. Calm ones that sent more than usual by chance waited with an organisation at seven times its usual, whose share grew while its burst lasted.

Change: organisations are compared in steps of a quarter of a share; demand above twice the usual one does not count as usual. The load model plays several organisations, priorities, lost runners and callers that return at once.

--- a/src/gateway/fair-shares.ts
+++ b/src/gateway/fair-shares.ts
@@ -6,10 +6,16 @@
 /** Half-life of the usual demand of an organisation, in milliseconds; a burst of some seconds hardly raises its share. */
 const USUAL_HALF_LIFE_MS = 60_000
 
-/** Factor by which an organisation may exceed its share before its requests wait behind those of others: demand varies by chance. */
-const SHARE_TOLERANCE = 1.25
+/** Time for which all demand counts as usual, in milliseconds, since nothing is known of an earlier one. */
+const LEARNING_MS = 5000
 
-/** Requests of average size that an organisation may always have placed beyond its share: the demand of a small one is only a few requests. */
+/** Multiple of its usual demand up to which the demand of an organisation counts as usual; a lasting growth still doubles its share within the half-life. */
+const USUAL_GROWTH = 2
+
+/** Steps of use, per share, in which organisations are compared; within one, their requests go by their objectives, as demand varies by chance. */
+const STEPS_PER_SHARE = 4
+
+/** Requests of average size that do not count as use of a share: the demand of a small organisation is only a few requests. */
 const SPARE_REQUESTS = 3
 
 /** Least share of an organisation, as a part of an equal share; an organisation without usual demand gets it too. */
@@ -26,6 +32,8 @@
 }
 
 interface ServiceShares {
+  /** When the first demand was recorded, in milliseconds. */
+  sinceMs: number
   all: Demand
   /** Requests placed recently, to know their average size. */
   placedRequests: DecayingSum
@@ -58,8 +66,10 @@
   /** Records the first attempt of a request; further attempts ask for the same work and raise no share. */
   recordDemand ({ service, organisation, priority, tokens }: ShareOfRequest): void {
     const shares = this.#sharesOf(service)
-    for (const demand of [shares.all, this.#demandOf(shares.organisations, organisation), this.#demandOf(shares.priorities, priority)]) {
-      demand.usual.add(tokens)
+    const own = this.#demandOf(shares.organisations, organisation)
+    const usualTokens = tokens * this.#usualPart(shares, own)
+    for (const demand of [shares.all, own, this.#demandOf(shares.priorities, priority)]) {
+      demand.usual.add(usualTokens)
       demand.asked.add(tokens)
     }
   }
@@ -70,16 +80,16 @@
     for (const demand of [shares.all, this.#demandOf(shares.organisations, organisation), this.#demandOf(shares.priorities, priority)]) demand.placed.add(tokens)
   }
 
-  /** Whether an organisation has more than its share of what was placed recently. Without an organisation, or with one only, never. */
-  isOverShare (service: string, organisation: string): boolean {
+  /** How much of its share of what was placed recently an organisation has had, in steps; the lower one goes first. Always 0 without organisations, or with one only. */
+  useOf (service: string, organisation: string): number {
     const shares = this.#services.get(service)
     const demand = shares?.organisations.get(organisation)
-    if (shares === undefined || demand === undefined || shares.organisations.size < 2) return false
+    if (shares === undefined || demand === undefined || shares.organisations.size < 2) return 0
     const allPlaced = shares.all.placed.value
     const equalShare = 1 / shares.organisations.size
     const share = Math.max(equalShare * MIN_EQUAL_SHARE, demand.usual.value / Math.max(1, shares.all.usual.value))
-    const meanTokens = allPlaced / Math.max(1, shares.placedRequests.value)
-    return demand.placed.value > allPlaced * share * SHARE_TOLERANCE + SPARE_REQUESTS * meanTokens
+    const spareTokens = SPARE_REQUESTS * allPlaced / Math.max(1, shares.placedRequests.value)
+    return Math.floor(Math.max(0, demand.placed.value - spareTokens) / Math.max(1, allPlaced * share) * STEPS_PER_SHARE)
   }
 
   /** Whether so little of the demand of a priority is placed, compared with all demand, that it has to go first. */
@@ -91,10 +101,20 @@
     return demand.placed.value / Math.max(1, demand.asked.value) < servedOfAll * MIN_RELATIVE_SERVICE
   }
 
+  /** Part of an organisation's present demand that counts as usual, so that a burst does not become its share while it lasts. */
+  #usualPart ({ sinceMs, all, organisations }: ServiceShares, own: Demand): number {
+    const ageMs = this.#nowMs() - sinceMs
+    if (ageMs < LEARNING_MS) return 1
+    const least = all.usual.value / organisations.size * MIN_EQUAL_SHARE
+    const usualPerMs = Math.max(least, own.usual.value) / windowMs(USUAL_HALF_LIFE_MS, ageMs)
+    const presentPerMs = own.asked.value / windowMs(RECENT_HALF_LIFE_MS, ageMs)
+    return Math.min(1, USUAL_GROWTH * usualPerMs / Math.max(presentPerMs, Number.EPSILON))
+  }
+
   #sharesOf (service: string): ServiceShares {
     const existing = this.#services.get(service)
     if (existing !== undefined) return existing
-    const shares: ServiceShares = { all: this.#newDemand(), placedRequests: this.#newSum(RECENT_HALF_LIFE_MS), organisations: new Map(), priorities: new Map() }
+    const shares: ServiceShares = { sinceMs: this.#nowMs(), all: this.#newDemand(), placedRequests: this.#newSum(RECENT_HALF_LIFE_MS), organisations: new Map(), priorities: new Map() }
     this.#services.set(service, shares)
     return shares
   }
@@ -115,3 +135,8 @@
     return new DecayingSum({ nowMs: this.#nowMs, halfLifeMs })
   }
 }
+
+/** Time that a decaying sum covers: at a constant rate, its value is the rate times this time. */
+function windowMs (halfLifeMs: number, ageMs: number): number {
+  return halfLifeMs / Math.LN2 * (1 - 0.5 ** (ageMs / halfLifeMs))
+}
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -257,11 +257,11 @@
   }
 
   #inOrder (service: string, waitingRequests: WaitingRequest[], isOnTime: (waiting: WaitingRequest) => boolean): Array<WaitingClaim & { waiting: WaitingRequest }> {
-    const overShare = memoize((organisation: string) => this.#shares.isOverShare(service, organisation))
+    const shareUse = memoize((organisation: string) => this.#shares.useOf(service, organisation))
     const underserved = memoize((priority: number) => this.#shares.isUnderserved(service, priority))
     const claims = waitingRequests.map((waiting) => {
       const { request: { organisation, priority }, objectiveMs, firstRequestedMs } = waiting
-      return { waiting, onTime: isOnTime(waiting), priority, isUnderserved: underserved(priority), isOverShare: overShare(organisation), objectiveMs, firstRequestedMs }
+      return { waiting, onTime: isOnTime(waiting), priority, isUnderserved: underserved(priority), shareUse: shareUse(organisation), objectiveMs, firstRequestedMs }
     })
     return claims.sort(compareClaims)
   }
--- a/src/gateway/service-order.ts
+++ b/src/gateway/service-order.ts
@@ -6,8 +6,8 @@
   priority: number
   /** Whether its priority has had so little that it goes first. */
   isUnderserved: boolean
-  /** Whether its organisation has had more than its share. */
-  isOverShare: boolean
+  /** How much of its share its organisation has had, in steps. */
+  shareUse: number
   /** Time by which its first event should be sent, in milliseconds. */
   objectiveMs: number
   /** Arrival of the caller's first attempt, in milliseconds. */
@@ -19,12 +19,12 @@
 
 /**
  * Order in which waiting requests are placed: those that can be on time before the late ones, then the more urgent ones, then those of organisations
- * within their share, then by objective. Late ones come by their first arrival, as none of them can meet its objective any more.
+ * that have had least of their share, then by objective. Late ones come by their first arrival, as none of them can meet its objective any more.
  */
 export function compareClaims (a: WaitingClaim, b: WaitingClaim): number {
   return Number(b.onTime) - Number(a.onTime) ||
     effectivePriority(a) - effectivePriority(b) ||
-    Number(a.isOverShare) - Number(b.isOverShare) ||
+    a.shareUse - b.shareUse ||
     (a.onTime ? a.objectiveMs - b.objectiveMs : a.firstRequestedMs - b.firstRequestedMs)
 }
 
--- a/test/gateway/load-patterns/load-model.ts
+++ b/test/gateway/load-patterns/load-model.ts
@@ -14,6 +14,8 @@
 const OBJECTIVE_MS = 900
 /** Time for which a request waits for a placement at most. */
 export const PATIENCE_MS = 2300
+/** Time after which a refused caller returns at the latest. */
+const LONGEST_RETURN_MS = 4400
 
 /** The runners of a service and what they take for their work. */
 export interface ModelFleet {
@@ -32,6 +34,26 @@
   tokenMsPerRun: number
 }
 
+/** Callers of one organisation and priority. */
+export interface ModelSource {
+  name: string
+  organisation: string
+  priority: number
+  requestsPerS: (second: number) => number
+  objectiveMs?: number
+  promptTokens?: number
+  /** Further attempts that a refused caller makes at once instead of returning when told; 0 by default. */
+  abusiveAttempts?: number
+}
+
+export interface SourceResult {
+  asked: number
+  onTime: number
+  late: number
+  /** Callers that were refused and had no attempt left. */
+  refused: number
+}
+
 export interface ModelLoad {
   seconds: number
   requestsPerS: (second: number) => number
@@ -39,6 +61,12 @@
   outputTokens: number
   /** When all instances lose what they know, in seconds. */
   restartS?: number
+  /** Callers of several organisations or priorities; instead of `requestsPerS`. */
+  sources?: ModelSource[]
+  /** Arrivals that count in the results of the sources, in seconds; all by default. */
+  counted?: { fromS: number, untilS: number }
+  /** Share of the decode runners that is lost for a time. */
+  loss?: { fromS: number, untilS: number, share: number }
 }
 
 export interface ModelResult {
@@ -52,10 +80,12 @@
   orders: Array<{ atS: number, role: RunnerRole }>
   /** Time that each refused attempt had waited, in milliseconds. */
   refusalsMs: number[]
+  bySource: Record<string, SourceResult>
 }
 
 interface ModelRun {
   id: string
+  source: ModelSource
   arrivedMs: number
   promptTokens: number
   outputTokens: number
@@ -77,15 +107,19 @@
   readonly #changes: Array<{ server: BackendServer, role: RunnerRole, readyMs: number }> = []
   /** By prefill runner, when it has processed its prompts. */
   readonly #prefillEnds = new Map<string, number>()
-  readonly #returns: Array<{ atMs: number, run: ModelRun, request: PlacementRequest }> = []
-  readonly #result: ModelResult = { asked: 0, askedInS: [], onTime: 0, late: 0, refused: 0, orders: [], refusalsMs: [] }
+  readonly #returns: Array<{ atMs: number, run: ModelRun, request: PlacementRequest, attemptsLeft: number }> = []
+  readonly #result: ModelResult = { asked: 0, askedInS: [], onTime: 0, late: 0, refused: 0, orders: [], refusalsMs: [], bySource: {} }
   #scheduler: PlacementScheduler
   #rebalancer: RoleRebalancer
   #mayOrder: boolean
+  readonly #sources: ModelSource[]
+  /** Decode runners that are lost at the moment. */
+  #lost: BackendServer[] = []
 
   constructor (options: { fleet: ModelFleet, load: ModelLoad, seed: number, mayOrder?: boolean }) {
     this.#fleet = options.fleet
     this.#load = options.load
+    this.#sources = options.load.sources ?? [{ name: 'all', organisation: '', priority: 0, requestsPerS: options.load.requestsPerS }]
     this.#random = seededRandom(options.seed)
     this.#mayOrder = options.mayOrder ?? true
     const add = (count: number, stage: RunnerRole): void => {
@@ -102,10 +136,11 @@
     for (; this.#clock.ms < endMs; this.#clock.ms += STEP_MS) {
       const { ms } = this.#clock
       if (ms === (this.#load.restartS ?? -1) * 1000) this.#restart()
-      if (this.#random() < this.#load.requestsPerS(ms / 1000) * STEP_MS / 1000) this.#arrive()
+      for (const source of this.#sources) if (this.#random() < source.requestsPerS(ms / 1000) * STEP_MS / 1000) this.#arrive(source)
+      this.#loseRunners()
       for (const due of this.#returns.filter(({ atMs }) => atMs <= ms)) {
         this.#returns.splice(this.#returns.indexOf(due), 1)
-        this.#submit(due.run, due.request, false)
+        this.#submit(due.run, due.request, due.attemptsLeft)
       }
       this.#finishChanges()
       this.#decode()
@@ -143,27 +178,55 @@
     this.#scheduler = this.#createScheduler()
   }
 
-  #arrive (): void {
+  #loseRunners (): void {
+    const { loss } = this.#load
+    if (loss === undefined) return
+    const { ms } = this.#clock
+    if (ms === loss.fromS * 1000) {
+      const decode = this.#backends.ready('model', RunnerRole.Decode)
+      this.#lost = decode.slice(0, Math.round(decode.length * loss.share))
+      for (const server of this.#lost) {
+        this.#backends.remove(server.id)
+        this.#scheduler.removeRunner(server)
+        for (const run of [...this.#runs.values()]) if (run.decode === server.id) this.#runs.delete(run.id)
+      }
+    }
+    if (ms === loss.untilS * 1000) for (const server of this.#lost.splice(0)) this.#backends.put({ ...server, startedAtMs: ms })
+  }
+
+  #arrive (source: ModelSource): void {
     const vary = (mean: number, spread: number): number => Math.max(1, Math.round(mean * Math.exp(spread * (this.#random() + this.#random() + this.#random() - 1.5) * 2 - spread * spread / 2)))
     this.#result.asked += 1
+    this.#resultOf(source, this.#clock.ms).asked += 1
     const second = Math.floor(this.#clock.ms / 1000)
     this.#result.askedInS[second] = (this.#result.askedInS[second] ?? 0) + 1
     const id = `q${this.#result.asked}`
     const outputTokens = vary(this.#load.outputTokens, 0.6)
-    const run = { id, arrivedMs: this.#clock.ms, promptTokens: vary(this.#load.promptTokens, 0.5), outputTokens, madeTokens: 0, decode: '', prefill: null, firstEventMs: null }
-    this.#submit(run, { id, service: 'model', failureDomain: 'a', organisation: '', priority: 0, longestReturnMs: null, promptTokens: run.promptTokens, output: { estimateTokens: outputTokens, maxTokens: 2 * outputTokens }, promptId: id, objectiveLeftMs: OBJECTIVE_MS, patienceMs: PATIENCE_MS, pauses: [] }, true)
+    const run = { id, source, arrivedMs: this.#clock.ms, promptTokens: vary(source.promptTokens ?? this.#load.promptTokens, 0.5), outputTokens, madeTokens: 0, decode: '', prefill: null, firstEventMs: null }
+    this.#submit(run, { id, service: 'model', failureDomain: 'a', organisation: source.organisation, priority: source.priority, longestReturnMs: LONGEST_RETURN_MS, promptTokens: run.promptTokens, output: { estimateTokens: outputTokens, maxTokens: 2 * outputTokens }, promptId: id, objectiveLeftMs: source.objectiveMs ?? OBJECTIVE_MS, patienceMs: PATIENCE_MS, pauses: [] }, 1 + (source.abusiveAttempts ?? 0))
   }
 
-  #submit (run: ModelRun, request: PlacementRequest, mayReturn: boolean): void {
+  #submit (run: ModelRun, request: PlacementRequest, attemptsLeft: number): void {
     const submittedMs = this.#clock.ms
     this.#scheduler.submit(request, (decision) => {
       if (!('refusal' in decision)) return this.#start(run, decision.decode, decision.prefill)
       this.#result.refusalsMs.push(this.#clock.ms - submittedMs)
-      if (mayReturn) this.#returns.push({ atMs: this.#clock.ms + decision.retryAfterMs, run, request })
-      else this.#result.refused += 1
+      if (attemptsLeft > 0) {
+        const returnMs = attemptsLeft > 1 ? STEP_MS : decision.retryAfterMs
+        return this.#returns.push({ atMs: this.#clock.ms + returnMs, run, request, attemptsLeft: attemptsLeft - 1 })
+      }
+      this.#result.refused += 1
+      this.#resultOf(run.source, run.arrivedMs).refused += 1
     })
   }
 
+  #resultOf ({ name }: ModelSource, arrivedMs: number): SourceResult {
+    const { fromS, untilS } = this.#load.counted ?? { fromS: 0, untilS: Infinity }
+    if (arrivedMs < fromS * 1000 || arrivedMs >= untilS * 1000) return { asked: 0, onTime: 0, late: 0, refused: 0 }
+    const result = this.#result.bySource[name] ??= { asked: 0, onTime: 0, late: 0, refused: 0 }
+    return result
+  }
+
   #start (run: ModelRun, decode: string, prefill: string | null): void {
     Object.assign(run, { decode, prefill })
     this.#runs.set(run.id, run)
@@ -187,8 +250,9 @@
       run.madeTokens += STEP_MS / (this.#fleet.tokenMs + this.#fleet.tokenMsPerRun * (running.get(run.decode) ?? 1))
       if (run.firstEventMs === null && run.madeTokens >= 1) {
         run.firstEventMs = ms
-        if (ms - run.arrivedMs <= OBJECTIVE_MS) this.#result.onTime += 1
-        else this.#result.late += 1
+        const outcome = ms - run.arrivedMs <= (run.source.objectiveMs ?? OBJECTIVE_MS) ? 'onTime' : 'late'
+        this.#result[outcome] += 1
+        this.#resultOf(run.source, run.arrivedMs)[outcome] += 1
       }
       if (run.madeTokens < run.outputTokens) continue
       this.#runs.delete(run.id)
