--- a/src/gateway/forwarding.ts
+++ b/src/gateway/forwarding.ts
@@ -8,6 +8,8 @@
 import type { LimitClient } from './limit-client.js'
 import type { ServerLimits } from './server-limits.js'
 import { type ResponseHead, isFailure } from './http-exchange.js'
+import type { DomainCrossing } from './domain-crossing.js'
+import type { PlaceClient } from './place-client.js'
 import type { PendingRequest } from './pending-request.js'
 import { GatewayRefusal } from './refusal.js'
 import type { RetryBudget } from './retry-budget.js'
@@ -28,11 +30,13 @@
   retryBudget: RetryBudget
   failureDomain: string
   log: Log
-  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends' | 'pausedSends'>
+  metrics: Pick<GatewayMetrics, 'staleSends' | 'limitedSends' | 'pausedSends' | 'crossings' | 'crossingBytes'>
   limits: ServerLimits
   limitClient: LimitClient
   pauses: ServerPauses
   keyCheck: Pick<KeyCheck, 'admits'>
+  places: PlaceClient
+  crossing: DomainCrossing
   nowMs: () => number
   random: () => number
 }
@@ -53,9 +57,21 @@
   const { backendClient, health } = context
   const startedMs = context.nowMs()
   health.recordStart(options.backend)
+  let written = false
   pending.sendStarted = true
-  const exchange = pending.cancelOnEnd(backendClient.send({ ...options, organisation: pending.organisation?.name ?? null, maySend: () => maySend(context, pending, options) }))
+  const exchange = pending.cancelOnEnd(backendClient.send({
+    ...options,
+    organisation: pending.organisation?.name ?? null,
+    maySend: () => {
+      if (!maySend(context, pending, options)) return false
+      countCrossing(context, options)
+      written = options.prefillOnly !== true
+      if (written) pending.openSends += 1
+      return true
+    }
+  }))
   const head = await exchange.head
+  if (written) pending.openSends -= 1
   health.recordEnd(options.backend)
   const result = resultOfHead(context, options, head)
   if (!isFailure(head)) observeLimit(context, options.backend, head, result.outcome, startedMs)
@@ -118,6 +134,13 @@
   return false
 }
 
+function countCrossing ({ failureDomain, metrics }: ForwardingContext, { backend, request }: SendOptions): void {
+  if (backend.failureDomain === failureDomain) return
+  const labels = { stage: backend.stage, to: backend.failureDomain }
+  metrics.crossings.inc(labels)
+  metrics.crossingBytes.inc(labels, request.body.length)
+}
+
 /** Records a failure of the server that had not finished the request when its time ran out. A caller's disconnect is not the server's fault. */
 export function chargeAtTimeout ({ health }: ForwardingContext, pending: PendingRequest, backend: BackendServer): void {
   if (pending.timedOut) health.recordFailure(backend, ExchangeOutcome.TimedOut)
@@ -171,9 +194,9 @@
   else log.debug('prompt.free-withheld', { server: kvCache.server.id })
 }
 
-/** Refuses a request that has to end now. If `sending` is true, a server has not responded completely yet and may have run the request. */
+/** Refuses a request that has to end now. If `sending` is true, a server has not responded completely yet; it may have run the request unless the connection to it is still being established. */
 export function refuseAtTimeout (pending: PendingRequest, sending: boolean, refusalIfNotRun: GatewayRefusal): void {
-  const mayHaveRun = pending.mayHaveRun || sending
+  const mayHaveRun = pending.mayHaveRun || (sending && pending.openSends > 0)
   if (pending.remainingMs() <= 0) pending.refuse(mayHaveRun ? GatewayRefusal.TimedOut : GatewayRefusal.TimedOutBeforeRun)
   else if (mayHaveRun) pending.refuse(GatewayRefusal.OutcomeUnknown)
   else pending.refuse(refusalIfNotRun, RETRY_ELSEWHERE_MS)
