--- a/src/gateway/quota-ledger.ts
+++ b/src/gateway/quota-ledger.ts
@@ -1,7 +1,7 @@
 import type { Quota } from './configuration.js'
 import { type QuotaBounds, windowUnits } from './quota-bounds.js'
 
-/** Time for which the bucket of an organisation is kept that the configuration of this instance does not have, in milliseconds. */
+/** Time after its last use for which a bucket is kept, in milliseconds: longer than instances that can't ask the coordinator need to agree on another one. */
 const UNUSED_LIFETIME_MS = 30_000
 
 const MS_PER_SECOND = 1000
@@ -82,10 +82,10 @@
     return this.#buckets.get(organisation)?.level ?? null
   }
 
-  /** Forgets all organisations except the given ones and those of which other instances, with a newer configuration, have asked lately. */
-  retain (organisations: Set<string>): void {
+  /** Forgets the organisations that have not been asked about for some time; their buckets start anew. */
+  forgetUnused (): void {
     const sinceMs = this.#options.nowMs() - UNUSED_LIFETIME_MS
-    for (const [organisation, { usedMs }] of this.#buckets) if (!organisations.has(organisation) && usedMs < sinceMs) this.#buckets.delete(organisation)
+    for (const [organisation, { usedMs }] of this.#buckets) if (usedMs < sinceMs) this.#buckets.delete(organisation)
   }
 
   #used (limit: OrganisationLimit): Bucket {
--- a/src/gateway/quota-sharing.ts
+++ b/src/gateway/quota-sharing.ts
@@ -59,6 +59,8 @@
   readonly #ledger: WindowLedger
   /** Buckets for instances that do not reach the coordinator of an organisation. */
   readonly #deputyLedger: QuotaLedger
+  /** Buckets for this instance's own requests when no other one answers. */
+  readonly #ownLedger: QuotaLedger
   /** When each instance last asked this one as a deputy, in milliseconds. */
   readonly #askedMs = new Map<string, number>()
   /** Coordinators for which this instance acts as a deputy: since when probes have been unanswered, in milliseconds. */
@@ -67,7 +69,7 @@
   readonly #reports = new Map<string, { report: UseReport, toldMs: number }>()
   #reportsSentMs = -Infinity
   readonly #coordinators = new Map<string, { ip: string, sinceMs: number }>()
-  /** When this instance last opened a bucket with units, in milliseconds. */
+  /** When this instance last began to keep a quota with units left, in milliseconds. */
   readonly #openedMs = new Map<string, number>()
   /** Instances that may coordinate organisations, as of the last tick, and their order for each organisation. */
   #candidates: string[] = []
@@ -94,6 +96,7 @@
       grantsOversized: true
     })
     const equalShare = (limit: OrganisationLimit): number => tolerance(limit) * toleranceShare.uncounted / this.#knownCount
+    this.#ownLedger = new QuotaLedger({ nowMs, bounds, capacity: equalShare, startLevel: equalShare, rateShare: () => 1 / this.#knownCount, grantsOversized: false })
     this.client = new QuotaClient({
       ip,
       nowMs,
@@ -101,7 +104,7 @@
       windowS: bounds.windowS,
       coordinators: (organisation) => this.#rankedFor(organisation),
       ledgerFor: (from, limit) => this.#ledgerFor(from, limit),
-      ownLedger: new QuotaLedger({ nowMs, bounds, capacity: equalShare, startLevel: equalShare, rateShare: () => 1 / this.#knownCount, grantsOversized: false }),
+      ownLedger: this.#ownLedger,
       uncountedUnits: equalShare,
       onSilence: (silent) => instances.markDeadIfSilent(silent),
       onAnswer: (answering) => this.#probedMs.delete(answering),
@@ -119,6 +122,7 @@
     if (nowMs() - this.#tickedMs > MAX_TICK_GAP_MS) this.#ledger.drain()
     this.#tickedMs = nowMs()
     this.#deputyLedger.refresh()
+    for (const ledger of [this.#deputyLedger, this.#ownLedger]) ledger.forgetUnused()
     this.#knownCount = instances.knownCount()
     const rateShare = rateShareOf(instances.servingCount() / this.#knownCount)
     this.#ledger.rescale(rateShare / this.#rateShare)
@@ -222,12 +226,17 @@
     const { ip, nowMs, log, instances } = this.#options
     const [coordinator] = this.#rankedFor(name)
     const previous = this.#coordinators.get(name)
-    if (coordinator === undefined || quota === null || previous?.ip === coordinator) return
+    if (coordinator === undefined || quota === null) return
+    const limit = { organisation: name, perS: quota.perS, burst: quota.burst, version }
+    if (previous?.ip === coordinator) {
+      // Takes over the quota of a new configuration.
+      if (coordinator === ip) this.#ledger.charge(limit, 0)
+      return
+    }
     this.#coordinators.set(name, { ip: coordinator, sinceMs: nowMs() })
     if (coordinator !== ip && previous?.ip !== ip) return
     log.info('quota.coordinator-changed', { organisation: name, coordinates: coordinator === ip, instances: instances.servingCount() })
     if (coordinator !== ip) return this.#ledger.close(name)
-    const limit = { organisation: name, perS: quota.perS, burst: quota.burst, version }
     this.#ledger.open(limit, { level: this.#startLevel(limit, previous?.sinceMs), profile: this.#reportOf(name)?.profile ?? [] })
   }
 
@@ -246,7 +255,7 @@
 
   #retain (organisations: Set<string>): void {
     for (const table of [this.#coordinators, this.#reports, this.#openedMs]) for (const organisation of table.keys()) if (!organisations.has(organisation)) table.delete(organisation)
-    for (const table of [this.#deputyLedger, this.client]) table.retain(organisations)
+    for (const table of [this.#ledger, this.client]) table.retain(organisations)
   }
 }
 
--- a/src/gateway/window-ledger.ts
+++ b/src/gateway/window-ledger.ts
@@ -74,6 +74,11 @@
     this.#uses.delete(organisation)
   }
 
+  /** Forgets all organisations except the given ones. */
+  retain (organisations: Set<string>): void {
+    for (const organisation of this.#uses.keys()) if (!organisations.has(organisation)) this.#uses.delete(organisation)
+  }
+
   /** Takes the units that a request costs, if there are as many. */
   take (limit: OrganisationLimit, cost: number): LedgerDecision {
     const use = this.#current(limit)
