Let one instance keep each quota while all instances start

Change: while most of the live instances are not ready, these are candidates too; a coordinator's share follows the instances in touch. A deputy without a rate names half a second.

--- a/src/gateway/instance-table.ts
+++ b/src/gateway/instance-table.ts
@@ -198,11 +198,14 @@
     return rendezvous(service, candidates.filter(({ share }) => share === largestShare).map(({ ip }) => ip)) ?? self
   }
 
-  /** Addresses of the instances that may share the coordination of many subjects, sorted: ready ones with at least half of the largest processor share. `canCoordinate` as in `coordinatorOf`. */
+  /** Addresses of the instances that may share the coordination of many subjects, sorted: ready ones with at least half of the largest processor share. While most instances start, the others may too, so that each does not take itself for the only one. `canCoordinate` as in `coordinatorOf`. */
   coordinatorCandidates (canCoordinate: boolean): string[] {
     const { ip: self, processorShare } = this.#options
-    const candidates = this.live().filter(({ ready }) => ready).map(({ ip, processorShare: share }) => ({ ip, share }))
-    if (canCoordinate || candidates.length === 0) candidates.push({ ip: self, share: processorShare })
+    const live = this.live()
+    const ready = live.filter((instance) => instance.ready)
+    const mostStart = 2 * ready.length < live.length
+    const candidates = (mostStart ? live : ready).map(({ ip, processorShare: share }) => ({ ip, share }))
+    if (canCoordinate || mostStart || candidates.length === 0) candidates.push({ ip: self, share: processorShare })
     const smallestShare = MIN_CANDIDATE_SHARE * Math.max(...candidates.map(({ share }) => share))
     return candidates.filter(({ share }) => share >= smallestShare).map(({ ip }) => ip).sort()
   }
--- a/src/gateway/quota-ledger.ts
+++ b/src/gateway/quota-ledger.ts
@@ -4,6 +4,9 @@
 /** Time after its last use for which a bucket is kept, in milliseconds: longer than instances that can't ask the coordinator need to agree on another one. */
 const UNUSED_LIFETIME_MS = 30_000
 
+/** Time after which a request is worth another try while a ledger gives out no rate, in milliseconds: a deputy begins to, or the coordinator answers. */
+const NO_RATE_WAIT_MS = 500
+
 const MS_PER_SECOND = 1000
 
 /** The rate and burst of an organisation in one version of the configuration. */
@@ -101,7 +104,7 @@
     const missing = Math.min(cost, full) - level
     if (missing <= 0) return 0
     const perS = limit.perS * rateShare(limit.organisation)
-    return perS === 0 ? null : Math.ceil(missing / perS * MS_PER_SECOND)
+    return perS === 0 ? NO_RATE_WAIT_MS : Math.ceil(missing / perS * MS_PER_SECOND)
   }
 
   #current (limit: OrganisationLimit): Bucket {
--- a/src/gateway/quota-sharing.ts
+++ b/src/gateway/quota-sharing.ts
@@ -124,7 +124,7 @@
     this.#deputyLedger.refresh()
     for (const ledger of [this.#deputyLedger, this.#ownLedger]) ledger.forgetUnused()
     this.#knownCount = instances.knownCount()
-    const rateShare = rateShareOf(instances.servingCount() / this.#knownCount)
+    const rateShare = rateShareOf((1 + instances.live().length) / this.#knownCount)
     this.#ledger.rescale(rateShare / this.#rateShare)
     this.#rateShare = rateShare
     for (const [ip, askedMs] of this.#askedMs) if (askedMs < nowMs() - ASKER_MEMORY_MS) this.#askedMs.delete(ip)
@@ -259,9 +259,9 @@
   }
 }
 
-/** Share of the rate that a coordinator gives out which sees a share of the known instances serve: groups that are cut off from each other, and instances that start and each take themselves for the coordinator, never give out more than the rate together. */
-function rateShareOf (servingShare: number): number {
-  return servingShare > 0.5 ? (1 + servingShare) / 2 : servingShare / 2
+/** Share of the rate that a coordinator gives out which is in touch with a share of the known instances: groups that are cut off from each other never give out more than the rate together. */
+function rateShareOf (reachableShare: number): number {
+  return reachableShare > 0.5 ? (1 + reachableShare) / 2 : reachableShare / 2
 }
 
 type Handlers = { [K in PeerDatagramKind]?: (sharing: QuotaSharing, from: string, message: Extract<PeerDatagram, { kind: K }>) => void }
--- a/test/gateway/quota-fleet.ts
+++ b/test/gateway/quota-fleet.ts
@@ -13,6 +13,10 @@
 const STEP_MS = 10
 const TICK_MS = 100
 const HEARTBEAT_MS = 500
+
+/** Time from the start of an instance until it is ready, and until callers who know its address reach it, in milliseconds. */
+const READY_MS = 2200
+const REACHABLE_MS = 300
 const MS_PER_SECOND = 1000
 
 export const MODEL_TOKENS = 10_000
@@ -84,7 +88,7 @@
     const table = new InstanceTable({ ip, nowMs: () => this.nowMs, random: this.#random })
     const failureDomain = Number(ip.split('.').at(-1)) % this.#domains
     const sharing = new QuotaSharing({ ip, nowMs: () => this.nowMs, log: { ...recordingLog(), debug: () => {} }, bounds, instances: table, canCoordinate: () => this.nowMs >= instance.readyMs, send: (to, message) => this.#deliver(instance, to, message) })
-    const instance: FleetInstance = { ip, failureDomain, table, sharing, configuration: this.configuration, readyMs: this.nowMs + 2200, pausedUntilMs: 0 }
+    const instance: FleetInstance = { ip, failureDomain, table, sharing, configuration: this.configuration, readyMs: this.nowMs + READY_MS, pausedUntilMs: 0 }
     for (const other of this.instances) {
       table.addAddress(other.ip)
       other.table.addAddress(ip)
@@ -109,7 +113,7 @@
     for (const instance of this.instances) instance.configuration = next
   }
 
-  /** Runs for a time in which callers arrive at random at instances that are ready, with the given demands. */
+  /** Runs for a time in which callers arrive at random at instances that run, with the given demands. */
   async run (durationMs: number, demands: Demand[] = []): Promise<void> {
     for (let ms = 0; ms < durationMs; ms += STEP_MS) {
       this.nowMs += STEP_MS
@@ -160,7 +164,7 @@
   #arrive (organisation: string, cost: number, perS: number): void {
     let expected = perS * STEP_MS / MS_PER_SECOND
     for (; expected > this.#random(); expected -= 1) {
-      const serving = this.instances.filter(({ readyMs, pausedUntilMs }) => readyMs <= this.nowMs && pausedUntilMs <= this.nowMs)
+      const serving = this.instances.filter(({ readyMs, pausedUntilMs }) => readyMs - READY_MS + REACHABLE_MS <= this.nowMs && pausedUntilMs <= this.nowMs)
       const instance = serving[Math.floor(this.#random() * serving.length)]
       if (instance !== undefined) this.request(instance, organisation, cost).catch((error: unknown) => { this.errors.push(error) })
     }
