--- a/src/gateway/quota-sharing.ts
+++ b/src/gateway/quota-sharing.ts
@@ -181,7 +181,7 @@
     return this.#deputyLedger
   }
 
-  /** A deputy gives out none of the rate while it hears from the coordinator itself, only the units with which its bucket starts. */
+  /** A deputy gives out none of the rate while it hears from the coordinator itself, only the units with which it starts. */
   #deputyRateShare (organisation: string): number {
     const { nowMs } = this.#options
     const probed = this.#probedMs.get(this.#rankedFor(organisation)[0] ?? '')
@@ -213,6 +213,7 @@
     }
   }
 
+  /** Records what a coordinator tells of its organisations. */
   recordReports (reports: UseReport[]): void {
     for (const report of reports) this.#reports.set(report.organisation, { report, toldMs: this.#options.nowMs() })
   }
@@ -237,11 +238,11 @@
     if (coordinator !== ip && previous?.ip !== ip) return
     log.info('quota.coordinator-changed', { organisation: name, coordinates: coordinator === ip, instances: instances.servingCount() })
     if (coordinator !== ip) return this.#ledger.close(name)
-    this.#ledger.open(limit, { level: this.#startLevel(limit, previous?.sinceMs), profile: this.#reportOf(name)?.profile ?? [] })
+    this.#ledger.open(limit, { level: this.#startLevel(limit, previous === undefined), profile: this.#reportOf(name)?.profile ?? [] })
   }
 
-  /** Units with which the bucket of an organisation starts whose last coordinator has been known since the given time. */
-  #startLevel (limit: OrganisationLimit, sinceMs: number | undefined): number {
+  /** Units that an organisation may use at once when this instance begins to keep its quota; `isNew` if this instance knew no coordinator of it before. */
+  #startLevel (limit: OrganisationLimit, isNew: boolean): number {
     const { nowMs, bounds, canCoordinate } = this.#options
     const windowStartMs = nowMs() - bounds.windowS * MS_PER_SECOND
     // While instances start, each may take itself for the coordinator; and none starts with units twice in a window.
@@ -249,7 +250,7 @@
     if (!canCoordinate() || openedMs > windowStartMs) return 0
     this.#openedMs.set(limit.organisation, nowMs())
     // The organisation or its quota is new in this version of the configuration.
-    if (sinceMs === undefined && this.#startedMs <= windowStartMs) return windowUnits(limit, bounds)
+    if (isNew && this.#startedMs <= windowStartMs) return windowUnits(limit, bounds)
     return toleranceOf(limit, bounds) * toleranceShare.handOver + this.#leftOver(limit)
   }
 
