Test that no crowd of callers ends a process

Clients that stay within the limits of each request may together end a process; nothing tested it but four cases of large bodies and heads.

--- a/src/soak/soak-fleet.ts
+++ b/src/soak/soak-fleet.ts
@@ -13,7 +13,8 @@
 /** Limit of the heap in the deploy file, in MB. */
 const HEAP_MB = 90
 
-const PORTS = { callers: 7101, readiness: 7102, directory: 7103, peers: 7104, metrics: 7105, store: 7106, runner: 7107 }
+/** Ports of the programs on their loopback addresses. */
+export const PORTS = { callers: 7101, readiness: 7102, directory: 7103, peers: 7104, metrics: 7105, store: 7106, runner: 7107 }
 
 /** What the fleet's configurations set for all routes and callers, in milliseconds and bytes. */
 interface FleetLimits {
@@ -32,6 +33,10 @@
   graceS?: number
   /** Memory of each instance, in MB; their heaps are limited as in the deploy file. */
   memoryMb?: number
+  /** Limit of each instance's heap, in MB; that of the deploy file by default. */
+  heapMb?: number
+  /** Largest number of open descriptors of each instance; that of this process by default. */
+  descriptors?: number
   /** Limits of the first configuration; the usual ones by default. */
   limits?: FleetLimits
   /** Share of the runners' answers that end with their connection; none by default. */
@@ -199,7 +204,9 @@
   #spawn (ip: string): ChildProcess {
     const file = this.#settingsFile(ip)
     writeFileSync(file, this.#settings(ip))
-    const child = spawn(process.execPath, [`--max-old-space-size=${HEAP_MB}`, 'target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
+    const { heapMb = HEAP_MB, descriptors } = this.#options
+    const limitDescriptors = descriptors === undefined ? '' : `ulimit -n ${descriptors}; `
+    const child = spawn('/bin/sh', ['-c', `${limitDescriptors}exec "$0" "$@"`, process.execPath, `--max-old-space-size=${heapMb}`, 'target/gateway.mjs'], { env: { PATH: process.env.PATH, DAISYBARROW_CONFIG: file }, stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this.#options.folder, `${ip}.log`), { flags: 'a' })
     child.stdout.pipe(log)
     child.stderr.pipe(log)
--- a/test/programs/limited-gateway.ts
+++ b/test/programs/limited-gateway.ts
@@ -1,5 +1,5 @@
 import { once } from 'node:events'
-import { mkdtempSync, readFileSync, rmSync } from 'node:fs'
+import { mkdtempSync, readdirSync, readFileSync, rmSync } from 'node:fs'
 import { Agent, request } from 'node:http'
 import { createServer, type Server, type Socket } from 'node:net'
 import { tmpdir } from 'node:os'
@@ -52,6 +52,18 @@
   }
 }
 
+interface LimitedGatewayOptions {
+  net: string
+  /** Behaviour of both servers by the last part of the path; any other path gets a sound answer. */
+  answers: Record<string, RawAnswer>
+  /** Memory above which the process is killed, in MB; that of the smallest instance by default. */
+  memoryMb?: number
+  /** Limit of the heap, in MB; that of the deploy file by default. */
+  heapMb?: number
+  /** Largest number of descriptors that the process may open. */
+  descriptors?: number
+}
+
 /** A real gateway process that is killed when it exceeds the memory of the smallest instance, as on the users' platform, with a plain server and a model runner that answer with raw bytes. */
 export class LimitedGateway {
   readonly fleet: SoakFleet
@@ -59,16 +71,18 @@
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
   readonly #ip: string
+  readonly #memoryMb: number
   #watch: NodeJS.Timeout | undefined
   #steadyTimer: NodeJS.Timeout | undefined
   readonly #steady: Array<Promise<number | null>> = []
   peakMb = 0
+  peakDescriptors = 0
   killed = false
 
-  /** `answers` holds the behaviour of both servers by the last part of the path; any other path gets a sound answer. */
-  constructor ({ net, answers }: { net: string, answers: Record<string, RawAnswer> }) {
+  constructor ({ net, answers, memoryMb = MEMORY_MB, heapMb, descriptors }: LimitedGatewayOptions) {
+    this.#memoryMb = memoryMb
     this.#ip = `127.${net}.200`
-    this.fleet = new SoakFleet({ folder: this.#folder, net, instances: 1, ledger: new SoakLedger(), memoryMb: MEMORY_MB })
+    this.fleet = new SoakFleet({ folder: this.#folder, net, instances: 1, ledger: new SoakLedger(), memoryMb, heapMb, descriptors })
     this.#server = createServer((socket) => {
       this.#sockets.add(socket)
       socket.on('error', () => {})
@@ -96,7 +110,8 @@
     const child = this.fleet.instances[0]?.process
     this.#watch = setInterval(() => {
       this.peakMb = Math.max(this.peakMb, this.#residentMb())
-      if (this.peakMb <= MEMORY_MB || this.killed) return
+      this.peakDescriptors = Math.max(this.peakDescriptors, this.#openDescriptors())
+      if (this.peakMb <= this.#memoryMb || this.killed) return
       this.killed = true
       child?.kill('SIGKILL')
     }, WATCH_PERIOD_MS)
@@ -115,16 +130,22 @@
     return counts
   }
 
+  /** IP address of the process. */
+  get ip (): string {
+    return this.callers.split(':', 1)[0] ?? ''
+  }
+
   get callers (): string {
     const [instance] = this.fleet.instances
     return instance === undefined ? '' : this.fleet.callers(instance)
   }
 
   /** Status of the answer that a caller gets; null if its connection is closed before the end of the answer. */
-  status (path: string, options: { deadlineMs?: number, body?: Buffer } = {}): Promise<number | null> {
+  status (path: string, options: { deadlineMs?: number, timeoutMs?: number, body?: Buffer } = {}): Promise<number | null> {
     return new Promise((resolve) => {
       const call = request(`http://${this.callers}${path}`, {
         agent: new Agent(),
+        ...(options.timeoutMs === undefined ? {} : { signal: AbortSignal.timeout(options.timeoutMs) }),
         method: path.startsWith('/checks') ? 'GET' : 'POST',
         headers: { Host: 'soak.example', 'X-Request-Id': `q${Math.random()}`, 'X-Deadline-Ms': String(options.deadlineMs ?? 1000), ...(isStream(path) ? { 'X-Model': 'm', 'X-Token-Counts': '10,10' } : {}) }
       })
@@ -138,6 +159,17 @@
     })
   }
 
+  /** Status of the answer at a door of the process; null without an answer in time. */
+  async get ({ port, path }: { port: number, path: string }, timeoutMs = 2000): Promise<number | null> {
+    try {
+      const response = await fetch(`http://${this.ip}:${port}${path}`, { signal: AbortSignal.timeout(timeoutMs), headers: { Connection: 'close' } })
+      await response.arrayBuffer()
+      return response.status
+    } catch {
+      return null
+    }
+  }
+
   async stop (): Promise<void> {
     clearInterval(this.#watch)
     clearInterval(this.#steadyTimer)
@@ -147,6 +179,20 @@
     rmSync(this.#folder, { recursive: true, force: true })
   }
 
+  /** Whether the process still runs. */
+  get alive (): boolean {
+    const child = this.fleet.instances[0]?.process
+    return child?.exitCode === null && child.signalCode === null
+  }
+
+  #openDescriptors (): number {
+    try {
+      return readdirSync(`/proc/${this.fleet.instances[0]?.process.pid}/fd`).length
+    } catch {
+      return 0
+    }
+  }
+
   #residentMb (): number {
     try {
       const status = readFileSync(`/proc/${this.fleet.instances[0]?.process.pid}/status`, 'utf8')
--- a/test/programs/memory-limit.test.ts
+++ b/test/programs/memory-limit.test.ts
@@ -125,4 +125,14 @@
     const steady = await gateway.steadyStatuses()
     expect({ killed: gateway.killed, steady: Object.keys(steady) }).toEqual({ killed: false, steady: ['200'] })
   }, 30_000)
+
+  // Guards against instances that run out of memory because a head is counted only once it has ended.
+  test('survives many large heads without an end, and serves other callers meanwhile', async () => {
+    await start()
+    gateway.startSteadyCaller()
+    for (let i = 0; i < LARGE_HEADS; i++) open(`GET /orders/silent HTTP/1.1\r\nHost: soak.example\r\nX-Request-Id: h\r\nX-Large: ${'a'.repeat(LARGE_HEAD_BYTES)}`)
+    await delay(2000)
+    const steady = await gateway.steadyStatuses()
+    expect({ killed: gateway.killed, steady: Object.keys(steady) }).toEqual({ killed: false, steady: ['200'] })
+  }, 30_000)
 })
