Bound what crowds of callers may occupy, at every listener

Tried and dropped: pausing sockets by pause() alone, as a paused socket reads 64 KB ahead (19 MB for 300 connections).

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -2,6 +2,7 @@
 import type { Socket } from 'node:net'
 import { CONNECTION_BYTES, type ConnectionBudget, type ConnectionHold, ConnectionStage } from './connection-budget.js'
 import type { ReadScheduler, ScheduledReader } from './read-scheduler.js'
+import { startReading, stopReading } from './socket-reading.js'
 
 /** Number of unfinished requests of one connection beyond which nothing more is parsed. Callers rarely send a request before they have the response to the previous one. */
 const MAX_UNFINISHED_REQUESTS = 32
@@ -9,15 +10,24 @@
 /** Largest part of the received bytes that is parsed at once if it isn't a body of known length. */
 const PART_BYTES = 2048
 
+/** Largest head that the parser of any listener takes, in bytes. */
+export const MAX_HEAD_BYTES = 64 * 1024
+
 const HEAD_END = '\r\n\r\n'
 const LINE_END = 0x0a
 
+/** Largest number of fields of a head that are kept: more than a head of the usual 16,384 bytes can have. */
+export const MAX_FIELDS = 3300
+
 /** Memory of a request and its response until it is finished, beside its head, body and answer, in bytes. */
 const REQUEST_BYTES = 6 * 1024
 
 /** Memory of a field of a head beside its bytes: its texts, and its places in the lists of names and values. */
 const FIELD_BYTES = 120
 
+/** Largest memory of a head or trailers without an end, as the parser keeps no more fields and bytes. */
+const MAX_UNENDED_BYTES = MAX_HEAD_BYTES + MAX_FIELDS * FIELD_BYTES
+
 interface UnfinishedRequest {
   incoming: IncomingMessage
   outgoing: ServerResponse
@@ -46,7 +56,8 @@
   #requests = 0
   /** Bytes of the last request's body that its length announces and that have not been parsed. */
   #bodyBytesLeft = 0
-  #bodyBytesParsed = 0
+  /** Bytes of bodies that have been read from their requests. */
+  #bodyBytesRead = 0
   #parsing = false
   /** Bytes that the operating system had taken at the last check, and when they became more. */
   #sentBytes = 0
@@ -61,7 +72,13 @@
     scheduler.add(this)
     socket.on('data', (chunk: Buffer) => this.#receive(chunk))
     // Node.js resumes the connection whenever the body of a request is read, also if it is empty.
-    socket.on('resume', () => { if (this.#mustPause) socket.pause() })
+    socket.on('resume', () => {
+      if (this.#mustPause) this.pause()
+      else startReading(socket)
+    })
+    // A stream reads ahead although it is paused.
+    const read = socket._read.bind(socket)
+    socket._read = (size) => { if (!this.#mustPause) read(size) }
     socket.once('close', () => {
       this.#forgetPending()
       scheduler.remove(this)
@@ -86,7 +103,7 @@
     this.#unendedBytes = 0
     this.#bodyBytesLeft = Number(incoming.headers['content-length'] ?? 0)
     this.#unfinished.push(request)
-    incoming.on('data', (chunk: Buffer) => { this.#bodyBytesParsed += chunk.length })
+    incoming.on('data', (chunk: Buffer) => { this.#bodyBytesRead += chunk.length })
     incoming.once('end', () => this.hold?.recordProgress())
     outgoing.once('close', () => {
       this.#unfinished.splice(this.#unfinished.indexOf(request), 1)
@@ -119,15 +136,15 @@
       return false
     }
     const part = this.#takePart()
-    const bodyBytesBefore = this.#bodyBytesParsed
+    const bodyBytesBefore = this.#bodyBytes
     const requestsBefore = this.#requests
     this.#parsing = true
     this.#options.parse(part)
     this.#parsing = false
-    const bodyBytes = this.#bodyBytesParsed - bodyBytesBefore
+    const bodyBytes = this.#bodyBytes - bodyBytesBefore
     this.#bodyBytesLeft = Math.max(0, this.#bodyBytesLeft - bodyBytes)
     // What is neither a whole head nor a body belongs to a head or to trailers, which the parser keeps.
-    if (this.#requests === requestsBefore && bodyBytes === 0) this.#unendedBytes += part.length + FIELD_BYTES * countLines(part)
+    if (this.#requests === requestsBefore && bodyBytes === 0) this.#unendedBytes = Math.min(this.#unendedBytes + part.length + FIELD_BYTES * countLines(part), MAX_UNENDED_BYTES)
     else if (this.#requests > requestsBefore) this.#unendedBytes = 0
     this.#count()
     this.#proceedIfEmpty()
@@ -135,13 +152,20 @@
   }
 
   pause (): void {
-    this.#options.socket.pause()
+    const { socket } = this.#options
+    socket.pause()
+    stopReading(socket)
   }
 
   resume (): void {
     if (!this.#mustPause) this.#options.socket.resume()
   }
 
+  /** Bytes of bodies that the parser has found; some may not have been read from their request yet. */
+  get #bodyBytes (): number {
+    return this.#bodyBytesRead + this.#unfinished.reduce((sum, { incoming }) => sum + incoming.readableLength, 0)
+  }
+
   get #isFull (): boolean {
     const max = this.#options.budget.isScarce ? 0 : MAX_UNFINISHED_REQUESTS
     // The body of the last request has to be read on.
@@ -160,7 +184,7 @@
     this.#count()
     if (this.#options.socket.destroyed || this.#parsing) return
     this.#options.scheduler.request(this)
-    if (this.#mustPause) this.#options.socket.pause()
+    if (this.#mustPause) this.pause()
   }
 
   /** Goes on with the bytes that wait, or reads more. */
@@ -212,10 +236,18 @@
     return this.#unfinished.length > 1 || this.#unendedBytes > 0 ? ConnectionStage.Queueing : ConnectionStage.Serving
   }
 
-  #close (): void {
+  #close (): boolean {
     const { socket, refuseUpload } = this.#options
-    this.stopParsing()
-    if (!refuseUpload(socket)) socket.destroy()
+    // The rest of the upload is still read and dropped.
+    if (refuseUpload(socket)) {
+      for (const request of this.#unfinished) request.headBytes = REQUEST_BYTES
+      this.#count()
+      return false
+    }
+    this.#forgetPending()
+    this.#unreadable = true
+    socket.destroy()
+    return true
   }
 }
 
--- a/src/gateway/connection-budget.ts
+++ b/src/gateway/connection-budget.ts
@@ -29,8 +29,8 @@
   /** Caller's address. Many honest callers may share one, so it only decides between connections of the same stage. */
   address: string
   stage: () => ConnectionStage
-  /** Closes the connection, after a refusal of its uploaded requests if they have not run; it has to lead to `release`. */
-  close: () => void
+  /** Closes the connection. Returns false if it stays open for a moment, so that its caller gets a refusal; the hold is then released later. */
+  close: () => boolean
 }
 
 interface ConnectionBudgetOptions {
@@ -49,7 +49,9 @@
 export class ConnectionHold {
   readonly address: string
   readonly stage: () => ConnectionStage
-  readonly close: () => void
+  readonly close: () => boolean
+  /** Whether the connection has been told to close. */
+  closing = false
   readonly #budget: ConnectionBudget
   #bytes = 0
   #released = false
@@ -160,6 +162,7 @@
     let worstStage = ConnectionStage.Serving
     let worstCost = 0
     for (const hold of this.#holds) {
+      if (hold.closing) continue
       const stage = hold.stage()
       const stallMs = nowMs - hold.progressMs
       if (stage > worstStage || stage === ConnectionStage.Serving || stallMs < minStallMs) continue
@@ -173,8 +176,8 @@
     const { name, log, onClose } = this.#options
     log.warn('connection.closed', { listener: name, shortOf, stage: ConnectionStage[worstStage], bytes: worst.bytes, stalledMs: Math.round(nowMs - worst.progressMs), connections: this.#holds.size, heldBytes: this.#heldBytes })
     onClose?.()
-    worst.release()
-    worst.close()
+    worst.closing = true
+    if (worst.close()) worst.release()
     return true
   }
 }
--- a/src/gateway/connection-limits.ts
+++ b/src/gateway/connection-limits.ts
@@ -31,7 +31,7 @@
 }
 
 const shares: Record<ListenerName, ListenerShare> = {
-  [ListenerName.Callers]: { memory: 0.2, descriptors: 0.6 },
+  [ListenerName.Callers]: { memory: 0.15, descriptors: 0.6 },
   [ListenerName.Readiness]: { memory: 0.01, descriptors: 0.05 },
   [ListenerName.Directory]: { memory: 0.05, descriptors: 0.15 }
 }
--- a/src/gateway/guard-connections.ts
+++ b/src/gateway/guard-connections.ts
@@ -1,7 +1,7 @@
 import type { Server } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Log } from '../logs/log.js'
-import { CallerConnection } from './caller-connection.js'
+import { CallerConnection, MAX_FIELDS } from './caller-connection.js'
 import { ConnectionBudget } from './connection-budget.js'
 import type { ConnectionLimits, ListenerName } from './connection-limits.js'
 import { ReadScheduler } from './read-scheduler.js'
@@ -20,15 +20,18 @@
   nowMs: () => number
   /** Called for each connection that is closed or not accepted for lack of room. */
   onClose?: () => void
+  /** Called with the bytes of each read. */
+  onRead?: (bytes: number) => void
   /** Refuses the request whose body is still uploaded on a connection; returns false if there is none, and the connection is then closed at once. */
   refuseUpload?: (socket: Socket) => boolean
 }
 
 /** Bounds what all connections of a server occupy together, and the processor time that each has for its bytes at once. Returns the budget, for metrics. */
-export function guardConnections (server: Server, { name, limits, log, nowMs, onClose = () => {}, refuseUpload = () => false }: GuardOptions): ConnectionBudget {
+export function guardConnections (server: Server, { name, limits, log, nowMs, onClose = () => {}, onRead = () => {}, refuseUpload = () => false }: GuardOptions): ConnectionBudget {
   const budget = new ConnectionBudget({ name, limitBytes: limits.bytes, maxConnections: limits.connections, log, nowMs, onClose })
-  const scheduler = new ReadScheduler({ maxPendingBytes: limits.pendingBytes, nowMs, defer: (callback) => { setImmediate(callback) } })
+  const scheduler = new ReadScheduler({ maxPendingBytes: limits.pendingBytes, onRead, nowMs, defer: (callback) => { setImmediate(callback) } })
   const connections = new WeakMap<Socket, CallerConnection>()
+  server.maxHeadersCount = MAX_FIELDS
   const open = new Set<CallerConnection>()
   const timer = setInterval(() => { for (const connection of open) connection.closeIfUnread(limits.unreadMs) }, UNREAD_CHECK_MS).unref()
   server.once('close', () => clearInterval(timer))
--- a/src/gateway/read-scheduler.ts
+++ b/src/gateway/read-scheduler.ts
@@ -19,6 +19,8 @@
 interface ReadSchedulerOptions {
   /** Received bytes of all connections that may wait to be parsed; beyond it, nothing more is read. */
   maxPendingBytes: number
+  /** Called with the bytes of each read. */
+  onRead?: (bytes: number) => void
   nowMs: () => number
   /** Calls back after other events of the process have been handled. */
   defer: (callback: () => void) => void
@@ -62,6 +64,7 @@
   /** Records a change of the bytes that wait. */
   recordPending (change: number): void {
     this.#pendingBytes += change
+    if (change > 0) this.#options.onRead?.(change)
     if (!this.#isFull) return
     for (const reader of this.#reading) this.#hold(reader)
   }
