--- a/test/gateway/place-sharing.test.ts
+++ b/test/gateway/place-sharing.test.ts
@@ -98,6 +98,19 @@
   })
 })
 
+describe('callers that are refused a place', () => {
+  // Guards against callers that were refused together, as after a restart of all instances, and return together.
+  test('are told to return one after the other, at the rate that the servers have to spare', async () => {
+    const fleet = startFleet()
+    await takeAll(fleet.asker)
+    const answers = await Promise.all(Array.from({ length: 30 }, () => acquire(fleet.asker, 20).answer))
+    const returnsMs = answers.map((answer) => 'refused' in answer ? answer.retryAfterMs : NaN).toSorted((a, b) => a - b)
+    const leastSpacingMs = Math.min(...returnsMs.slice(1).map((returnMs, index) => returnMs - (returnsMs[index] ?? 0)))
+    expect(leastSpacingMs).toBeGreaterThan(30 / SLOTS)
+    expect(returnsMs[0]).toBeGreaterThanOrEqual(150)
+  })
+})
+
 describe('failures of the coordinator of places', () => {
   test.each([
     ['does not get the requests', (fleet: Fleet) => (_from: string, to: string) => to === fleet.coordinator],
