Limit only the idle connections to a server, not those in use

Cause: with a limit on used connections, 600 requests that hang on one path took the share of the only instance, and ordinary callers of the same server got 503 (test/programs/memory-limit, large heads and answers without end, 5 cases); a placement on a runner at that limit was tried again without a pause. Ruled out: only the load of the machine, since the refused callers got 503 and not 504. Change: an instance limits what it keeps idle. The cost of a server no longer includes the failure domain, which domain-crossing.ts weighs.

--- a/src/gateway/http-exchange.ts
+++ b/src/gateway/http-exchange.ts
@@ -6,7 +6,7 @@
 import type { BufferHold } from './buffer-budget.js'
 import { ByteCollector } from './byte-collector.js'
 import { ChunkSizes } from './chunk-sizes.js'
-import { type ConnectionShare, UNLIMITED_SHARE } from './connection-shares.js'
+import { MAX_IDLE_CONNECTIONS } from './idle-share.js'
 import { ExchangeOutcome } from './exchange-outcome.js'
 
 /** Longest wait for a new connection, in milliseconds. Connecting usually takes about 1 ms, and TCP resends a lost SYN only after 1 s. */
@@ -87,25 +87,23 @@
 }
 
 interface HttpExchangeClientOptions {
-  /** Connections that this instance may hold to the server at an address. */
-  shareOf?: (address: string) => ConnectionShare
+  /** Number of idle connections that this instance may keep to the server at an address. */
+  maxIdle?: (address: string) => number
 }
 
 /** HTTP client with one connection pool for each server address. */
 export class HttpExchangeClient {
   readonly #agents = new Map<string, IdleCheckingAgent>()
   readonly #ownConnections = new ConnectingAgent({ keepAlive: false })
-  readonly #shareOf: (address: string) => ConnectionShare
+  readonly #maxIdle: (address: string) => number
 
-  constructor ({ shareOf = () => UNLIMITED_SHARE }: HttpExchangeClientOptions = {}) {
-    this.#shareOf = shareOf
+  constructor ({ maxIdle = () => MAX_IDLE_CONNECTIONS }: HttpExchangeClientOptions = {}) {
+    this.#maxIdle = maxIdle
   }
 
   start (request: ExchangeRequest): Exchange {
     const { address, ownConnection } = request
-    const pool = this.#agentOf(address)
-    if (this.#inUse(address) >= this.#shareOf(address).total) return unsentExchange('the share of connections to the server is used up')
-    const agent = ownConnection ? this.#ownConnections : pool
+    const agent = ownConnection ? this.#ownConnections : this.#agentOf(address)
     const [host, port] = address.split(':')
     const clientRequest = httpRequest({ host, port: Number(port), method: request.method, path: request.target, headers: request.headers, agent })
     const head = awaitHead(clientRequest, request, () => agent.recordEarlyReset(address))
@@ -125,26 +123,16 @@
   #agentOf (address: string): IdleCheckingAgent {
     const existing = this.#agents.get(address)
     if (existing !== undefined) return existing
-    const agent = new IdleCheckingAgent({ keepAlive: true, scheduling: 'lifo' }, () => this.#shareOf(address).idle)
+    const agent = new IdleCheckingAgent({ keepAlive: true, scheduling: 'lifo' }, () => this.#maxIdle(address))
     this.#agents.set(address, agent)
     return agent
   }
-
-  #inUse (address: string): number {
-    return this.#agentOf(address).inUse(address) + this.#ownConnections.inUse(address)
-  }
-}
-
-function unsentExchange (detail: string): Exchange {
-  return { head: Promise.resolve({ outcome: ExchangeOutcome.NotSent, detail }), cancel: () => {} }
 }
 
 /** An agent that hands over a connection only once it is established, so that nothing is written before. */
 class ConnectingAgent extends Agent {
   /** When a new connection to each address was last reset, in milliseconds. */
   readonly #earlyResetsMs = new Map<string, number>()
-  /** Number of connections to each address that are being established. */
-  readonly #connecting = new Map<string, number>()
 
   /** Records that the server at an address has reset a connection on which it had answered nothing. */
   recordEarlyReset (address: string): void {
@@ -153,18 +141,6 @@
     this.#earlyResetsMs.set(address, nowMs)
   }
 
-  /** Number of connections to an address that carry a request or are being established for one. */
-  inUse (address: string): number {
-    const [host, port] = address.split(':')
-    return (this.sockets[this.getName({ host, port: Number(port) })]?.length ?? 0) + (this.#connecting.get(address) ?? 0)
-  }
-
-  #countConnecting (address: string, change: number): void {
-    const count = (this.#connecting.get(address) ?? 0) + change
-    if (count === 0) this.#connecting.delete(address)
-    else this.#connecting.set(address, count)
-  }
-
   #settleMs (address: string): number {
     const resetMs = this.#earlyResetsMs.get(address) ?? -Infinity
     return performance.now() - resetMs < EARLY_RESET_MEMORY_MS ? SETTLE_MS : 0
@@ -173,13 +149,11 @@
   override createConnection (options: ClientRequestArgs, onCreated?: (error: Error | null, socket: Duplex) => void): undefined {
     const address = `${options.host}:${options.port}`
     const socket = connect(options as NetConnectOpts)
-    this.#countConnecting(address, 1)
     let timer = setTimeout(() => socket.destroy(new Error('no connection in time')), CONNECT_TIMEOUT_MS)
     let ended = false
     const end = (): void => {
       ended = true
       clearTimeout(timer)
-      this.#countConnecting(address, -1)
     }
     const onEnd = (error: Error): void => {
       end()
--- a/src/gateway/place-scheduler.ts
+++ b/src/gateway/place-scheduler.ts
@@ -273,12 +273,12 @@
   #doneAfterMs (backend: BackendServer): number {
     const { taken } = this.#loadOf(backend)
     const ahead = Math.max(0, taken.size + 1 - backend.slots)
-    return this.#health.cost(backend, backend.failureDomain) * (1 + ahead / backend.slots)
+    return this.#health.cost(backend) * (1 + ahead / backend.slots)
   }
 
   /** Requests that the servers finish in a millisecond. */
   #ratePerMs (servers: BackendServer[]): number {
-    return servers.reduce((sum, backend) => sum + (this.#isSilent(backend) ? 0 : backend.slots / this.#health.cost(backend, backend.failureDomain)), 0)
+    return servers.reduce((sum, backend) => sum + (this.#isSilent(backend) ? 0 : backend.slots / this.#health.cost(backend)), 0)
   }
 
   /** Refuses the requests that would not be served in time even if the servers were somewhat faster than they were lately. A request that can't meet its objective is served only by what the newer ones leave. */
--- a/src/gateway/plain-forwarding.ts
+++ b/src/gateway/plain-forwarding.ts
@@ -203,7 +203,7 @@
     const { crossing, health, failureDomain, random } = this.#context
     const candidates = this.#candidates(withheld)
       // The random part of less than 1 ms spreads requests over servers of equal cost.
-      .map((backend) => ({ backend, failureDomain: backend.failureDomain, doneAfterMs: health.cost(backend, backend.failureDomain) + random(), order: amongTwo ? random() : 0 }))
+      .map((backend) => ({ backend, failureDomain: backend.failureDomain, doneAfterMs: health.cost(backend) + random(), order: amongTwo ? random() : 0 }))
       .toSorted((a, b) => a.order - b.order)
     const { request, route } = this.#pending
     const work = { failureDomain, bytes: request.body.length, objectiveLeftMs: route.targetLatencyMs - this.#pending.ageMs() - RETURN_TRANSIT_MS }
--- a/src/gateway/server-health.ts
+++ b/src/gateway/server-health.ts
@@ -22,9 +22,6 @@
 /** Latency assumed before the first response, in milliseconds. */
 const INITIAL_LATENCY_MS = 30
 
-/** Additional cost of a server in another failure domain, in milliseconds, to reduce traffic between domains. */
-const OTHER_DOMAIN_COST_MS = 15
-
 /** Weight of the newest retry in the moving average of retries that failed again. */
 const RETRY_WEIGHT = 0.2
 
@@ -95,12 +92,11 @@
     return this.#record(backend).latencyMs
   }
 
-  /** Expected cost of sending one more request, in milliseconds; the server with the lowest cost is preferred. */
-  cost (backend: BackendServer, failureDomain: string): number {
+  /** Expected cost of sending one more request, in milliseconds, without that of leaving the failure domain; the server with the lowest cost is preferred. */
+  cost (backend: BackendServer): number {
     const record = this.#decayedRecord(backend)
     const expectedLatencyMs = record.latencyMs * (1 + record.inFlight / Math.max(1, backend.slots))
-    const crossDomainMs = backend.failureDomain === failureDomain ? 0 : OTHER_DOMAIN_COST_MS
-    return expectedLatencyMs + record.failureShare * FAILURE_COST_MS + crossDomainMs
+    return expectedLatencyMs + record.failureShare * FAILURE_COST_MS
   }
 
   /** Deletes the records of all servers except the given incarnations. */
