--- a/src/gateway/fair-shares.ts
+++ b/src/gateway/fair-shares.ts
@@ -66,6 +66,7 @@
   /** Records the first attempt of a request; further attempts ask for the same work and raise no share. */
   recordDemand ({ service, organisation, priority, tokens }: ShareOfRequest): void {
     const shares = this.#sharesOf(service)
+    if (!shares.organisations.has(organisation)) this.#evictIdle(shares.organisations)
     const own = this.#demandOf(shares.organisations, organisation)
     const usualTokens = tokens * this.#usualPart(shares, own)
     for (const demand of [shares.all, own, this.#demandOf(shares.priorities, priority)]) {
@@ -119,6 +120,11 @@
     return shares
   }
 
+  /** Drops the organisations that have asked for nothing for a long time, so that the table does not grow with all that there ever were. */
+  #evictIdle (organisations: Map<string, Demand>): void {
+    for (const [name, { usual }] of organisations) if (usual.value < 1) organisations.delete(name)
+  }
+
   #demandOf<K> (demands: Map<K, Demand>, key: K): Demand {
     const existing = demands.get(key)
     if (existing !== undefined) return existing
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -36,6 +36,8 @@
   readonly pausedSends: Counter
   readonly crossings: Counter<'stage' | 'to'>
   readonly crossingBytes: Counter<'stage' | 'to'>
+  readonly placementDecisions: Counter<'outcome' | 'timing'>
+  readonly slowRunners: Gauge
   readonly waitingForPlaces: Gauge
   readonly takenPlaces: Gauge
   readonly pausedServers: Gauge
@@ -46,7 +48,7 @@
 
   readonly #organisations = new Set<string>()
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, waitingForPlaces?: () => number, takenPlaces?: () => number, bufferedBytes?: () => number, coordinatedQuotas?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, waitingForPlaces?: () => number, takenPlaces?: () => number, bufferedBytes?: () => number, coordinatedQuotas?: () => number, slowRunners?: () => number } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -62,6 +64,8 @@
     this.pausedSends = new Counter({ name: 'daisybarrow_gateway_paused_sends_total', help: 'Sends withheld because the server had turned this instance away for a time', registers })
     this.crossings = new Counter({ name: 'daisybarrow_gateway_crossings_total', help: 'Requests sent to another failure domain by stage of the server and its domain', labelNames: ['stage', 'to'], registers })
     this.crossingBytes = new Counter({ name: 'daisybarrow_gateway_crossing_bytes_total', help: 'Bytes of request bodies sent to another failure domain by stage of the server and its domain', labelNames: ['stage', 'to'], registers })
+    this.placementDecisions = new Counter({ name: 'daisybarrow_gateway_placement_decisions_total', help: 'Decisions on model requests that had to wait, by outcome and by whether they could still be on time', labelNames: ['outcome', 'timing'], registers })
+    this.slowRunners = computedGauge({ name: 'daisybarrow_gateway_slow_runners', help: 'Decode runners that this coordinator measures as clearly slower than usual', registers, value: () => options.slowRunners?.() ?? 0 })
     this.waitingForPlaces = computedGauge({ name: 'daisybarrow_gateway_requests_waiting_for_places', help: 'Requests of all instances that wait here for a place at a plain server', registers, value: () => options.waitingForPlaces?.() ?? 0 })
     this.takenPlaces = computedGauge({ name: 'daisybarrow_gateway_taken_places', help: 'Places at plain servers that this instance has given out and that have not been returned', registers, value: () => options.takenPlaces?.() ?? 0 })
     this.pausedServers = computedGauge({ name: 'daisybarrow_gateway_paused_servers', help: 'Servers that have turned this instance away for a time', registers, value: () => options.pausedServers?.() ?? 0 })
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -6,6 +6,7 @@
 import { ConfigurationLag } from './configuration-lag.js'
 import { type Configuration, type EngineConfiguration, RouteKind } from './configuration.js'
 import { CoordinatedServices } from './coordinated-services.js'
+import { decisionRecorder } from './decision-record.js'
 import { RETRY_ELSEWHERE_MS } from './forwarding.js'
 import type { GatewayMetrics } from './gateway-metrics.js'
 import type { GatewaySettings } from './gateway-settings.js'
@@ -123,12 +124,13 @@
     this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
     this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, log, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
-    this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onRunnerFailure: (server) => this.#checkFailedRunner(server) })
+    const onDecision = decisionRecorder(options)
+    this.#scheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, memoryFillShare: () => this.#memoryFillShare(), placesBlindly: () => !this.ready, isChangingRole: (id) => this.isChangingRole(id), permits: this.limitSharing.permits, onWaiting: () => this.onWaiting(), onDecision, onRunnerFailure: (server) => this.#checkFailedRunner(server) })
     // A new coordinator places nothing at first, while the other instances report their runs.
     this.#coordinatedServices = new CoordinatedServices({ ip: settings.ip, instances: this.instances, canCoordinate: () => !this.#stopping, onGain: () => this.#scheduler.warmUpFor(COORDINATOR_WARM_UP_MS), log })
     this.orderTokenIssuer = new OrderTokenIssuer({ store: options.store, holder: settings.id, turnMs: () => settings.orderTurnMs, log, nowMs })
     this.#roleRebalancer = new RoleRebalancer({ backends: this.backends, backendClient: options.backendClient, tokenIssuer: this.orderTokenIssuer, holder: settings.id, requestMix: (service) => this.#scheduler.requestMix(service), demand: (service) => this.#scheduler.demand(service), roleChangeMs: (service) => engine(service)?.roleChangeMs ?? 0, limitPerS: (backend) => this.limitSharing.permits.ratePerS(backend), load: (backend) => this.#scheduler.load(backend), isPaused: (backend) => this.pauses.isPaused(backend), log, nowMs })
-    this.#localScheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, placesBlindly: () => true, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting() })
+    this.#localScheduler = new PlacementScheduler({ nowMs, random: options.random, backends: this.backends, engine, placesBlindly: () => true, isChangingRole: (id) => this.isChangingRole(id), memoryFillShare: () => MEMORY_FILL_SHARE / this.instances.servingCount(), permits: this.limitSharing.noPermits, onWaiting: () => this.onWaiting(), onDecision })
     this.heartbeats = new Heartbeats({ instances: this.instances, status: () => this.status(), sendReminders: (ips) => this.#sendReminders(ips), send: options.send, random: options.random })
     this.#storeView = this.#createStoreView()
     this.storeRelay = this.#createStoreRelay()
@@ -413,6 +415,11 @@
     this.#configurationLag.update({ own, newest }, { reachesStore, storeRevision })
   }
 
+  /** Number of decode runners that are clearly slower than usual. */
+  get slowRunnerCount (): number {
+    return this.#scheduler.slowRunnerCount
+  }
+
   #rebalanceRoles (): void {
     for (const service of this.#coordinatedServices.names()) {
       this.#roleRebalancer.rebalance(service).catch((error: unknown) => this.#options.log.error('role.fault', { service, detail: String(error) }))
--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -2,6 +2,7 @@
 import { type BackendServer, incarnationOf, RunnerRole } from './backend.js'
 import type { BackendTable } from './backend-table.js'
 import type { EngineConfiguration } from './configuration.js'
+import type { DecisionRecord } from './decision-record.js'
 import { FairShares, type ShareOfRequest } from './fair-shares.js'
 import type { RunMemory } from './memory-forecast.js'
 import { expectedRemaining, remainingSpread } from './output-length.js'
@@ -26,6 +27,9 @@
 /** Minimum time between two scheduling passes caused by a release, the end of a prefill or a request behind waiting ones, in milliseconds; during a burst, a pass after each of them would cost too much processor time. */
 const PASS_SPACING_MS = 10
 
+/** Speed below which a decode runner counts as slow in metrics, compared with the usual one. */
+const SLOW_SPEED = 0.8
+
 /** Time after the expected end of a prefill from which its runner counts as slowed down, as a multiple of its expected duration: a runner may answer some time after it has begun the next prompt. */
 const PREFILL_OVERDUE_FACTOR = 3
 
@@ -82,6 +86,8 @@
   permits?: RunnerPermits
   /** Called when a request has to wait for a placement. */
   onWaiting?: () => void
+  /** Called with each decision on a request that had to wait, and with each refusal. */
+  onDecision?: (record: DecisionRecord) => void
   /** Called when a runner has failed a request. */
   onRunnerFailure?: (server: string) => void
 }
@@ -240,7 +246,8 @@
     if (pool === null) return
     const nowMs = this.#options.nowMs()
     this.#shortages.delete(service)
-    for (const { waiting: { request, onDecision, pausedUntilMs }, onTime } of this.#inOrder(service, waitingRequests, (waiting) => canBeOnTime(waiting, pool, nowMs))) {
+    for (const { waiting, onTime } of this.#inOrder(service, waitingRequests, (candidate) => canBeOnTime(candidate, pool, nowMs))) {
+      const { request, onDecision, pausedUntilMs } = waiting
       const run = this.#place(request, pool, onTime ? 1 : LATE_FILL_SHARE, ({ id }) => (pausedUntilMs.get(id) ?? -Infinity) <= nowMs)
       // The pass stops at the first request that does not fit, so that smaller requests behind it cannot starve it.
       if (typeof run === 'string') {
@@ -252,6 +259,7 @@
       this.#waiting.delete(request.id)
       this.#runs.add(run)
       this.#shares.recordPlacement(shareOf(request))
+      if (nowMs > waiting.arrivedMs) this.#recordDecision(waiting, onTime, 'placed')
       onDecision({ prefill: run.prefill, decode: run.decode })
     }
   }
@@ -395,12 +403,37 @@
     return this.#shortages.get(service) ?? PlacementRefusal.NoMemory
   }
 
-  #refuseWaiting ({ request, onDecision, firstRequestedMs }: WaitingRequest, refusal: PlacementRefusal): void {
+  #refuseWaiting (waiting: WaitingRequest, refusal: PlacementRefusal): void {
+    const { request, onDecision, firstRequestedMs, objectiveMs } = waiting
     this.#waiting.delete(request.id)
+    this.#recordDecision(waiting, objectiveMs > this.#options.nowMs(), refusal)
     this.#refusedPrompts.add(request.promptId, firstRequestedMs)
     onDecision(this.#refuse(refusal, request))
   }
 
+  #recordDecision ({ request, arrivedMs, firstRequestedMs }: WaitingRequest, onTime: boolean, outcome: DecisionRecord['outcome']): void {
+    const { id, service, organisation, priority } = request
+    this.#options.onDecision?.({
+      request: id,
+      service,
+      organisation,
+      priority,
+      onTime,
+      returning: firstRequestedMs < arrivedMs,
+      underserved: this.#shares.isUnderserved(service, priority),
+      shareUse: this.#shares.useOf(service, organisation),
+      waitedMs: Math.round(this.#options.nowMs() - arrivedMs),
+      outcome,
+      waiting: this.#waiting.size,
+      runs: this.#runs.size
+    })
+  }
+
+  /** Number of decode runners that are clearly slower than usual for their service. */
+  get slowRunnerCount (): number {
+    return this.#options.backends.all().filter(({ id, stage }) => stage === RunnerRole.Decode && this.#speeds.decodeSpeed(id) < SLOW_SPEED).length
+  }
+
   #refuse (refusal: PlacementRefusal, { service, longestReturnMs }: PlacementRequest): RefusedPlacement {
     return { refusal, retryAfterMs: this.#backlog.returnAfterMs(service, this.#loadOf(service), this.#waiting.size, longestReturnMs), waiting: this.#waiting.size, runs: this.#runs.size }
   }
