Bound what crowds of callers may occupy, at every listener

Node.js parses 64 KB at once, up to 2,400 requests; heads and trailers without an end, the fields of heads, the requests of a connection and the connections themselves were counted nowhere; the readiness listener and the directory had no limits; unused buffers were collected only after 64 MB of them.

Tried and dropped: pausing sockets by pause() alone, as a paused socket reads 64 KB ahead (19 MB for 300 connections).

--- a/src/gateway/buffer-budget.ts
+++ b/src/gateway/buffer-budget.ts
@@ -16,6 +16,8 @@
   log: Log
   /** Called for each exchange that had to give up its buffers. */
   onEvict?: () => void
+  /** Called with the bytes of each increase. */
+  onGrowth?: (bytes: number) => void
 }
 
 interface HoldOptions {
@@ -90,6 +92,7 @@
   readonly #limitBytes: number
   readonly #log: Log
   readonly #onEvict: () => void
+  readonly #onGrowth: (bytes: number) => void
   /** The holds that have bytes. */
   readonly #holds = new Set<BufferHold>()
   #heldBytes = 0
@@ -98,6 +101,7 @@
     this.#limitBytes = options.limitBytes
     this.#log = options.log
     this.#onEvict = options.onEvict ?? (() => {})
+    this.#onGrowth = options.onGrowth ?? (() => {})
   }
 
   /** Sum of the bytes of all holds. */
@@ -119,6 +123,7 @@
     if (hold.bytes > 0) this.#holds.add(hold)
     else this.#holds.delete(hold)
     if (this.#heldBytes > this.#limitBytes) this.#evictLargest()
+    if (bytes > 0) this.#onGrowth(bytes)
   }
 
   #evictLargest (): void {
--- a/src/gateway/explain-request.ts
+++ b/src/gateway/explain-request.ts
@@ -13,6 +13,7 @@
   [GatewayRefusal.UnknownRoute]: 'The active configuration has no route for this host and path.',
   [GatewayRefusal.Malformed]: 'The request could not be read.',
   [GatewayRefusal.BodyTooLarge]: 'The body is over the limit of the configuration.',
+  [GatewayRefusal.TooManyFields]: 'The head of the request had more fields than a head within the configured limit can have; the request did not run.',
   [GatewayRefusal.NoServer]: 'No server was known, reachable and ready; the request did not run.',
   [GatewayRefusal.Overloaded]: 'No placement was possible in time; the request did not run. placement.refused says whether decode memory or prefill was short.',
   [GatewayRefusal.CrashingPrompt]: 'A part of its prompt is quarantined since runners crashed with it; the request did not run. prompt.quarantined names the part and the requests that led to it.',
--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -1,4 +1,5 @@
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import type { ConnectionBudget } from './connection-budget.js'
 
 const DURATION_BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20]
 const MS_PER_SECOND = 1000
@@ -9,6 +10,11 @@
   return new Gauge({ ...options, collect () { this.set(value()) } })
 }
 
+/** A gauge with one value for each listener. */
+function budgetGauge ({ budgets, value, ...options }: { name: string, help: string, registers: Registry[], budgets: () => ConnectionBudget[], value: (budget: ConnectionBudget) => number }): Gauge<'listener'> {
+  return new Gauge({ ...options, labelNames: ['listener'], collect () { for (const budget of budgets()) this.set({ listener: budget.name }, value(budget)) } })
+}
+
 /** Metrics of one gateway process, in a registry of its own. */
 export class GatewayMetrics {
   readonly registry = new Registry()
@@ -31,8 +37,11 @@
   readonly pausedServers: Gauge
   readonly bufferedBytes: Gauge
   readonly evictedExchanges: Counter
+  readonly connections: Gauge<'listener'>
+  readonly connectionBytes: Gauge<'listener'>
+  readonly closedConnections: Counter<'listener'>
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number } = {}) {
+  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, bufferedBytes?: () => number, connectionBudgets?: () => ConnectionBudget[] } = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
@@ -49,6 +58,10 @@
     this.pausedServers = computedGauge({ name: 'daisybarrow_gateway_paused_servers', help: 'Servers that have turned this instance away for a time', registers, value: () => options.pausedServers?.() ?? 0 })
     this.bufferedBytes = computedGauge({ name: 'daisybarrow_gateway_buffered_bytes', help: 'Bytes that all exchanges keep in buffers', registers, value: () => options.bufferedBytes?.() ?? 0 })
     this.evictedExchanges = new Counter({ name: 'daisybarrow_gateway_evicted_exchanges_total', help: 'Exchanges ended because the buffers of all together exceeded their limit', registers })
+    const budgets = options.connectionBudgets ?? (() => [])
+    this.connections = budgetGauge({ name: 'daisybarrow_gateway_connections', help: 'Open connections of callers by listener', registers, budgets, value: ({ size }) => size })
+    this.connectionBytes = budgetGauge({ name: 'daisybarrow_gateway_connection_bytes', help: 'Memory of the connections of callers by listener in bytes, beside bodies and answers', registers, budgets, value: ({ heldBytes }) => heldBytes })
+    this.closedConnections = new Counter({ name: 'daisybarrow_gateway_closed_connections_total', help: 'Connections of callers closed or not accepted for lack of room, by listener', labelNames: ['listener'], registers })
     this.processorSeconds = new Counter({
       name: 'process_cpu_seconds_total',
       help: 'Processor time spent in seconds',
--- a/src/gateway/gateway-settings.ts
+++ b/src/gateway/gateway-settings.ts
@@ -5,6 +5,9 @@
 /** Memory of the smallest instance that is supported, in MB. */
 const DEFAULT_MEMORY_MB = 160
 
+/** Time after which a caller that reads nothing of its complete answers is disconnected, in seconds; callers on the slowest links read something in this time. */
+const DEFAULT_UNREAD_S = 60
+
 /** Settings of `daisybarrow-gateway`. */
 export const gatewaySettingsSchema = z.object({
   id: z.string().min(1).describe('Id of this instance'),
@@ -24,6 +27,12 @@
     speed: z.number().positive().default(1).describe('Speed of that core, as a multiple of the usual one')
   }).prefault({}).describe('The instances with the largest share times speed coordinate the placement of requests'),
   memoryMb: z.number().positive().default(DEFAULT_MEMORY_MB).describe('Memory that this instance may use, in MB'),
+  connections: z.object({
+    callers: z.int().positive().optional().describe('Largest number of callers\' connections, if it is smaller than what the memory and the descriptors of the process allow'),
+    directory: z.int().positive().optional().describe('The same for the directory'),
+    readiness: z.int().positive().optional().describe('The same for readiness checks'),
+    unreadS: z.number().positive().default(DEFAULT_UNREAD_S).describe('Time after which a connection is closed whose caller reads nothing of its complete answers, in seconds')
+  }).prefault({}).describe('Bounds on what callers may occupy'),
   orderTurnMs: z.number().positive().default(3000).describe('Time within which two instances may not both give orders to a runner, in milliseconds'),
   drainMs: z.number().positive().default(2000).describe('Time for which a server takes requests after it has said that it leaves, in milliseconds'),
   graceS: z.number().positive().default(8).describe('Time from SIGTERM to SIGKILL, in seconds'),
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -4,6 +4,7 @@
   UnknownRoute = 'unknown-route',
   Malformed = 'malformed',
   BodyTooLarge = 'body-too-large',
+  TooManyFields = 'too-many-fields',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
   /** The request could not be placed on runners. */
@@ -34,6 +35,7 @@
   [GatewayRefusal.UnknownRoute]: 404,
   [GatewayRefusal.Malformed]: 400,
   [GatewayRefusal.BodyTooLarge]: 413,
+  [GatewayRefusal.TooManyFields]: 431,
   [GatewayRefusal.NoServer]: 503,
   [GatewayRefusal.Overloaded]: 503,
   [GatewayRefusal.CrashingPrompt]: 503,
--- a/test/gateway/gateway-fixtures.ts
+++ b/test/gateway/gateway-fixtures.ts
@@ -1,3 +1,4 @@
+import { type ConnectionLimits, connectionLimits, type ListenerName } from '../../src/gateway/connection-limits.js'
 import { EventEmitter } from 'node:events'
 import type { IncomingMessage } from 'node:http'
 import { PassThrough } from 'node:stream'
@@ -62,6 +63,11 @@
   return new BufferBudget({ limitBytes: Infinity, log: recordingLog() })
 }
 
+/** Limits of a listener on an instance of the usual size. */
+export function usualConnectionLimits (listener: ListenerName): ConnectionLimits {
+  return connectionLimits(listener, { memoryMb: 160, descriptors: 20_000, connections: { unreadS: 60 } })
+}
+
 /** Records the response that a caller would receive. */
 export class RecordingResponder implements Responder {
   status: number | null = null
--- a/test/platform/caller-listener.test.ts
+++ b/test/platform/caller-listener.test.ts
@@ -5,8 +5,9 @@
 import { createCallerListener } from '../../platform/caller-listener.js'
 import type { CallerRequest, Responder } from '../../src/gateway/caller-request.js'
 import type { ResponseHead } from '../../src/gateway/http-exchange.js'
+import { ListenerName } from '../../src/gateway/connection-limits.js'
 import { GatewayRefusal } from '../../src/gateway/refusal.js'
-import { recordingLog, unboundedBuffers } from '../gateway/gateway-fixtures.js'
+import { recordingLog, unboundedBuffers, usualConnectionLimits } from '../gateway/gateway-fixtures.js'
 
 let server: Server | undefined
 
@@ -15,6 +16,7 @@
 /** Sends raw bytes to a listener and returns everything that it sends back until it closes the connection or `until` arrives. */
 async function sendRaw (bytes: string, options: { serve: (request: CallerRequest, responder: Responder) => void, stopping?: boolean, until?: string, onError?: (error: NodeJS.ErrnoException) => void }): Promise<string> {
   server = createCallerListener({
+    connectionLimits: usualConnectionLimits(ListenerName.Callers),
     serve: options.serve,
     longestWaitMs: () => 5000,
     limits: () => ({ headerBytes: 1000, bodyBytes: 10, headerTimeoutMs: 1000, idleTimeoutMs: 1000 }),
--- a/test/platform/http-gateway.ts
+++ b/test/platform/http-gateway.ts
@@ -3,6 +3,7 @@
 import { RunnerRole } from '../../src/gateway/backend.js'
 import type { BufferBudget } from '../../src/gateway/buffer-budget.js'
 import { RouteKind } from '../../src/gateway/configuration.js'
+import { ListenerName } from '../../src/gateway/connection-limits.js'
 import { Gateway } from '../../src/gateway/gateway.js'
 import { GatewayMetrics } from '../../src/gateway/gateway-metrics.js'
 import { gatewaySettingsSchema } from '../../src/gateway/gateway-settings.js'
@@ -10,7 +11,7 @@
 import type { PlatformStore } from '../../src/gateway/platform-store.js'
 import { type CallerServer, createCallerListener } from '../../platform/caller-listener.js'
 import { HttpBackendClient } from '../../platform/http-backend-client.js'
-import { backend, configuration, recordingLog, route, unboundedBuffers } from '../gateway/gateway-fixtures.js'
+import { backend, configuration, recordingLog, route, unboundedBuffers, usualConnectionLimits } from '../gateway/gateway-fixtures.js'
 
 /** A gateway instance between real connections: of callers on one side, of servers on the other. */
 export interface HttpGateway {
@@ -109,6 +110,7 @@
   gateway.backends.put(backend({ id: 'd1', service: 'model', stage: RunnerRole.Decode, address }))
   const ticks = setInterval(() => gateway.tick(), 20)
   const callers = createCallerListener({
+    connectionLimits: usualConnectionLimits(ListenerName.Callers),
     serve: (request, responder) => gateway.serve(request, responder),
     longestWaitMs: (request) => gateway.longestWaitMs(request),
     limits: () => gateway.configuration?.limits ?? null,
--- a/test/platform/malformed-messages.test.ts
+++ b/test/platform/malformed-messages.test.ts
@@ -4,9 +4,10 @@
 import { type AddressInfo, connect, type Server } from 'node:net'
 import fc from 'fast-check'
 import { decodeDatagram, encodeDatagram, type PeerDatagram, PeerDatagramKind } from '../../src/gateway/peer-datagram.js'
+import { ListenerName } from '../../src/gateway/connection-limits.js'
 import { PeerSocket } from '../../src/gateway/peer-socket.js'
 import { createDirectoryListener, createReadinessListener } from '../../platform/service-listeners.js'
-import { callerRequest, recordingLog, RecordingResponder } from '../gateway/gateway-fixtures.js'
+import { callerRequest, recordingLog, RecordingResponder, usualConnectionLimits } from '../gateway/gateway-fixtures.js'
 import { SocketGateway } from './socket-gateway.js'
 
 /** Number of generated inputs; set MALFORMED_INPUTS for a longer run by hand. */
@@ -42,7 +43,10 @@
   // Guards against a process that is taken down by one request to the directory or to the readiness check.
   test.each(oddTargets)('with %s ends no listener', async (_name, target) => {
     const { gateway } = new SocketGateway()
-    const ports = [await listen(createDirectoryListener(gateway, { addressLifetimeS: () => 1, random: () => 0 })), await listen(createReadinessListener(gateway))]
+    const options = { log: recordingLog(), nowMs: () => performance.now() }
+    const directory = createDirectoryListener(gateway, { ...options, limits: usualConnectionLimits(ListenerName.Directory), addressLifetimeS: () => 1, random: () => 0 })
+    const readiness = createReadinessListener(gateway, { ...options, limits: usualConnectionLimits(ListenerName.Readiness) })
+    const ports = [await listen(directory.server), await listen(readiness.server)]
     for (const port of ports) expect(await answerTo(port, target)).toMatch(/^HTTP\/1\.1 (200|400|404|503) /)
     expect(await answerTo(ports[0] ?? 0, '/v1/resolution?Zone=a&Name=x')).toMatch(/^HTTP\/1\.1 (200|503) /)
   })
