End the largest served requests once heads alone fill the memory

Cause: 1,800 requests with heads of 60 KB, all served by a silent server, filled the connection budget with connections that were never closed; the process was killed above 178 MB, and new ordinary connections, the first by their stage, were closed instead. A head's text is kept twice, as received and as sent on (50 MB of heap for 374 such heads), and was counted once. The parser copied an unfinished line again with each part of 2 KB, which fragmented the memory outside the heap.

Change: the largest served request is ended with a true answer if nothing else holds much or has stalled; ordinary connections that have just come are spared; a head's text counts twice; a part ends with a line.

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -7,7 +7,7 @@
 /** Number of unfinished requests of one connection beyond which nothing more is parsed. Callers rarely send a request before they have the response to the previous one. */
 const MAX_UNFINISHED_REQUESTS = 32
 
-/** Largest part of the received bytes that is parsed at once if it isn't a body of known length. */
+/** Part of the received bytes that is parsed at once, up to the end of its last line, if it isn't a body of known length. */
 const PART_BYTES = 2048
 
 /** Largest head that the parser of any listener takes, in bytes. */
@@ -22,6 +22,9 @@
 /** Memory of a request and its response until it is finished, beside its head, body and answer, in bytes. */
 const REQUEST_BYTES = 6 * 1024
 
+/** Number of copies of a head's text: as received, and as it is sent to a server. */
+const HEAD_COPIES = 2
+
 /** Memory of a field of a head beside its bytes: its texts, and its places in the lists of names and values. */
 const FIELD_BYTES = 120
 
@@ -40,8 +43,8 @@
   scheduler: ReadScheduler
   /** Passes bytes to the parser of the connection. */
   parse: (bytes: Buffer) => void
-  /** Refuses the request whose body is still uploaded; returns false if none can be refused. */
-  refuseUpload: (socket: Socket) => boolean
+  /** Ends the only request of the connection with an answer; returns false if that is not possible. */
+  endRequest: (socket: Socket) => boolean
 }
 
 /** One connection of a caller: passes its bytes to the HTTP parser in small parts, as far as its unfinished requests and the memory of all connections allow it, and counts what it occupies. */
@@ -98,7 +101,7 @@
   addRequest (incoming: IncomingMessage, outgoing: ServerResponse): void {
     const fields = incoming.rawHeaders.length / 2
     const textBytes = incoming.rawHeaders.reduce((sum, text) => sum + text.length, incoming.url?.length ?? 0)
-    const request: UnfinishedRequest = { incoming, outgoing, headBytes: REQUEST_BYTES + fields * FIELD_BYTES + textBytes }
+    const request: UnfinishedRequest = { incoming, outgoing, headBytes: REQUEST_BYTES + fields * FIELD_BYTES + HEAD_COPIES * textBytes }
     this.#requests += 1
     this.#unendedBytes = 0
     this.#bodyBytesLeft = Number(incoming.headers['content-length'] ?? 0)
@@ -214,7 +217,10 @@
     const last = this.#unfinished.at(-1)
     if (last !== undefined && !last.incoming.complete && this.#bodyBytesLeft > 0) return Math.min(bytes.length, this.#bodyBytesLeft)
     const end = bytes.subarray(0, PART_BYTES).indexOf(HEAD_END)
-    return end === -1 ? Math.min(bytes.length, PART_BYTES) : end + HEAD_END.length
+    if (end !== -1) return end + HEAD_END.length
+    // The parser copies an unfinished line again with each part of it.
+    const lineEnd = bytes.indexOf(LINE_END, PART_BYTES)
+    return lineEnd === -1 ? bytes.length : lineEnd + 1
   }
 
   #forgetPending (): void {
@@ -237,9 +243,9 @@
   }
 
   #close (): boolean {
-    const { socket, refuseUpload } = this.#options
-    // The rest of the upload is still read and dropped.
-    if (refuseUpload(socket)) {
+    const { socket, endRequest } = this.#options
+    // The rest of an upload is still read and dropped.
+    if (endRequest(socket)) {
       for (const request of this.#unfinished) request.headBytes = REQUEST_BYTES
       this.#count()
       return false
--- a/src/gateway/connection-budget.ts
+++ b/src/gateway/connection-budget.ts
@@ -1,6 +1,6 @@
 import type { Log } from '../logs/log.js'
 
-/** What a connection is doing. When room is short, connections are closed in this order; those that are served are never closed. */
+/** What a connection is doing. When room is short, connections are closed in this order. */
 export enum ConnectionStage {
   /** No complete request head has arrived: it is silent, or sends a head. */
   Unfinished,
@@ -12,7 +12,7 @@
   Idle,
   /** It has sent requests ahead of the one that is served. */
   Queueing,
-  /** Its only request is served. */
+  /** Its only request is served. It is ended only for memory, if nothing else is left, and the one that occupies most. */
   Serving
 }
 
@@ -22,14 +22,32 @@
 /** Time for which a connection may stay without progress before it gives way to a new one, in milliseconds; callers send their request at once, but a busy process may read it later. */
 const MIN_STALL_MS = 1000
 
+/** Memory of a connection with an ordinary request, at most, in bytes. One that has just come and holds no more is closed for memory only if there is no other: it would be the first by its stage, though it has had no time for progress. */
+const ORDINARY_BYTES = 32 * 1024
+
 /** Added to the time without progress when connections are compared, in milliseconds, so that a fresh connection that holds much is not the last choice. */
 const STALL_OFFSET_MS = 100
 
+/** What runs short. */
+enum Shortage {
+  Connections = 'connections',
+  Memory = 'memory',
+  /** Memory, and no connection holds more than an ordinary one. */
+  AnyMemory = 'any-memory'
+}
+
+/** Which connections may be closed. */
+const mayClose: Record<Shortage, (connection: { stage: ConnectionStage, stallMs: number, bytes: number }) => boolean> = {
+  [Shortage.Connections]: ({ stage, stallMs }) => stage !== ConnectionStage.Serving && stallMs >= MIN_STALL_MS,
+  [Shortage.Memory]: ({ stage, stallMs, bytes }) => bytes > ORDINARY_BYTES || (stage !== ConnectionStage.Serving && stallMs >= MIN_STALL_MS),
+  [Shortage.AnyMemory]: () => true
+}
+
 interface ConnectionOptions {
   /** Caller's address. Many honest callers may share one, so it only decides between connections of the same stage. */
   address: string
   stage: () => ConnectionStage
-  /** Closes the connection. Returns false if it stays open for a moment, so that its caller gets a refusal; the hold is then released later. */
+  /** Closes the connection, or ends its request. Returns false if it stays open for a moment, so that its caller gets an answer; the hold is then released later. */
   close: () => boolean
 }
 
@@ -126,7 +144,7 @@
   /** Accepts a connection; null if there is no room and none to close for it. */
   open (options: ConnectionOptions): ConnectionHold | null {
     const { maxConnections } = this.#options
-    if (this.#holds.size >= maxConnections) this.#closeWorst('connections', MIN_STALL_MS)
+    if (this.#holds.size >= maxConnections) this.#closeWorst(Shortage.Connections)
     if (this.#holds.size >= maxConnections) {
       this.#options.onClose?.()
       return null
@@ -146,7 +164,7 @@
     // A connection that is closed changes its own bytes.
     if (this.#closing) return
     this.#closing = true
-    while (this.#heldBytes > this.#options.limitBytes && this.#closeWorst('memory', 0));
+    while (this.#heldBytes > this.#options.limitBytes && (this.#closeWorst(Shortage.Memory) || this.#closeWorst(Shortage.AnyMemory)));
     this.#closing = false
   }
 
@@ -156,17 +174,17 @@
   }
 
   /** Returns false if there is nothing to close. */
-  #closeWorst (shortOf: string, minStallMs: number): boolean {
+  #closeWorst (shortage: Shortage): boolean {
     const nowMs = this.nowMs()
     let worst: ConnectionHold | null = null
     let worstStage = ConnectionStage.Serving
-    let worstCost = 0
+    let worstCost = -1
     for (const hold of this.#holds) {
       if (hold.closing) continue
       const stage = hold.stage()
       const stallMs = nowMs - hold.progressMs
-      if (stage > worstStage || stage === ConnectionStage.Serving || stallMs < minStallMs) continue
-      const cost = hold.bytes * (stallMs + STALL_OFFSET_MS) * (this.#bytesByAddress.get(hold.address) ?? 0)
+      if (stage > worstStage || !mayClose[shortage]({ stage, stallMs, bytes: hold.bytes })) continue
+      const cost = stage === ConnectionStage.Serving ? hold.bytes : hold.bytes * (stallMs + STALL_OFFSET_MS) * (this.#bytesByAddress.get(hold.address) ?? 0)
       if (stage === worstStage && cost <= worstCost) continue
       worst = hold
       worstStage = stage
@@ -174,7 +192,7 @@
     }
     if (worst === null) return false
     const { name, log, onClose } = this.#options
-    log.warn('connection.closed', { listener: name, shortOf, stage: ConnectionStage[worstStage], bytes: worst.bytes, stalledMs: Math.round(nowMs - worst.progressMs), connections: this.#holds.size, heldBytes: this.#heldBytes })
+    log.warn('connection.closed', { listener: name, shortOf: shortage, stage: ConnectionStage[worstStage], bytes: worst.bytes, stalledMs: Math.round(nowMs - worst.progressMs), connections: this.#holds.size, heldBytes: this.#heldBytes })
     onClose?.()
     worst.closing = true
     if (worst.close()) worst.release()
--- a/src/gateway/guard-connections.ts
+++ b/src/gateway/guard-connections.ts
@@ -22,12 +22,12 @@
   onClose?: () => void
   /** Called with the bytes of each read. */
   onRead?: (bytes: number) => void
-  /** Refuses the request whose body is still uploaded on a connection; returns false if there is none, and the connection is then closed at once. */
-  refuseUpload?: (socket: Socket) => boolean
+  /** Ends the only request of a connection with an answer, which refuses it if it has not run; returns false if that is not possible, and the connection is then closed at once. */
+  endRequest?: (socket: Socket) => boolean
 }
 
 /** Bounds what all connections of a server occupy together, and the processor time that each has for its bytes at once. Returns the budget, for metrics. */
-export function guardConnections (server: Server, { name, limits, log, nowMs, onClose = () => {}, onRead = () => {}, refuseUpload = () => false }: GuardOptions): ConnectionBudget {
+export function guardConnections (server: Server, { name, limits, log, nowMs, onClose = () => {}, onRead = () => {}, endRequest = () => false }: GuardOptions): ConnectionBudget {
   const budget = new ConnectionBudget({ name, limitBytes: limits.bytes, maxConnections: limits.connections, log, nowMs, onClose })
   const scheduler = new ReadScheduler({ maxPendingBytes: limits.pendingBytes, onRead, nowMs, defer: (callback) => { setImmediate(callback) } })
   const connections = new WeakMap<Socket, CallerConnection>()
@@ -43,7 +43,7 @@
       socket,
       budget,
       scheduler,
-      refuseUpload,
+      endRequest,
       parse: (bytes) => { for (const parser of parsers) parser(bytes) }
     })
     if (connection.hold === null) {
--- a/test/gateway/connection-budget.test.ts
+++ b/test/gateway/connection-budget.test.ts
@@ -54,6 +54,16 @@
   expect({ closed, heldBytes: budget.heldBytes }).toEqual({ closed: ['large'], heldBytes: 45_000 })
 })
 
+// Guards against ordinary callers that are turned away because requests with large heads, which are served, occupy all memory.
+test('ends the largest request that is served once nothing else is left to close', () => {
+  const { closed, open } = budgetWith([
+    { name: 'ordinary', stage: ConnectionStage.Serving, bytes: 15_000 },
+    { name: 'large', stage: ConnectionStage.Serving, bytes: 60_000, atMs: 5000 }
+  ], { limitBytes: 80_000 })
+  open({ name: 'next', stage: ConnectionStage.Unfinished, bytes: 15_000 })
+  expect(closed).toEqual(['large'])
+})
+
 test('counts a connection that is refused first until it has closed, and closes it once', () => {
   const budget = new ConnectionBudget({ name: 'callers', limitBytes: 20_000, maxConnections: 10, log: recordingLog(), nowMs: () => 0 })
   let closes = 0
