--- a/src/gateway/explain-request.ts
+++ b/src/gateway/explain-request.ts
@@ -17,6 +17,7 @@
   [GatewayRefusal.OverQuota]: 'Its organisation had used up its quota; the request did not run. quota.refused names its cost, the quota, the instance that decided and the time at which the organisation has units again.',
   [GatewayRefusal.QuotaUndecided]: 'No instance that keeps the quota of its organisation answered, and the share of this instance was used up; the request did not run. See quota.coordinator-changed.',
   [GatewayRefusal.BodyTooLarge]: 'The body is over the limit of the configuration.',
+  [GatewayRefusal.TooManyFields]: 'The head of the request had more fields than a head within the configured limit can have; the request did not run.',
   [GatewayRefusal.NoServer]: 'No server was known, reachable and ready; the request did not run.',
   [GatewayRefusal.Overloaded]: 'No placement was possible in time; the request did not run. placement.refused says whether decode memory or prefill was short.',
   [GatewayRefusal.CrashingPrompt]: 'A part of its prompt is quarantined since runners crashed with it; the request did not run. prompt.quarantined names the part and the requests that led to it.',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -120,7 +120,7 @@
     options.backendClient.onPause = (backend, retryAfterMs) => this.pauses.record(backend, retryAfterMs)
     this.leavingSharing = new LeavingSharing({ nowMs, log, backends: this.backends, backendClient: options.backendClient, instances: this.instances, send: options.send })
     this.limitSharing = new LimitSharing({ ip: settings.ip, nowMs, log, backends: this.backends, instances: this.instances, canCoordinate: () => !this.#stopping, send: options.send })
-    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: () => settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
+    this.quotaSharing = new QuotaSharing({ ip: settings.ip, nowMs, log, bounds: settings.quota, instances: this.instances, canCoordinate: () => this.ready, send: options.send })
     this.#quotaCheck = new QuotaCheck({ client: this.quotaSharing.client, version: () => this.#configuration?.version ?? -Infinity, log, metrics: options.metrics })
     this.placeSharing = new PlaceSharing({ ip: settings.ip, failureDomain: settings.failureDomain, nowMs, random: options.random, log, backends: this.backends, instances: this.instances, price: () => settings.crossing, canCoordinate: () => !this.#stopping, send: options.send, onWaiting: () => this.onWaiting() })
     const engine = (service: string): EngineConfiguration | null => this.#routes?.service(service)?.engine ?? null
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -12,6 +12,7 @@
   OverQuota = 'over-quota',
   /** No instance that keeps the quota of the organisation has answered. */
   QuotaUndecided = 'quota-undecided',
+  TooManyFields = 'too-many-fields',
   /** No server was available, or none could be reached. */
   NoServer = 'no-server',
   /** The request could not be placed on runners, or on plain servers in the time that it has. */
@@ -46,6 +47,7 @@
   [GatewayRefusal.BodyTooLarge]: 413,
   [GatewayRefusal.OverQuota]: 429,
   [GatewayRefusal.QuotaUndecided]: 503,
+  [GatewayRefusal.TooManyFields]: 431,
   [GatewayRefusal.NoServer]: 503,
   [GatewayRefusal.Overloaded]: 503,
   [GatewayRefusal.CrashingPrompt]: 503,
