Refuse waiting requests whose key was given to another organisation

Cause: review of the key check: a request that waited while a version gave its key to another organisation, or ended the anonymity of its route, was sent for the organisation that had held the key when it arrived, or for none.

Change: the check before the first send compares the organisation with that of the active configuration; 401 if no organisation holds the key, 503 if one does.

--- a/src/gateway/key-check.ts
+++ b/src/gateway/key-check.ts
@@ -33,11 +33,21 @@
     return mayBeNew ? [GatewayRefusal.KeyNotYetKnown, RETRY_ELSEWHERE_MS] : [GatewayRefusal.UnknownKey, null]
   }
 
-  /** Whether a request may be sent to a server; refuses it otherwise. A request whose key was removed while it waited begins no run, but a run that has begun goes on. */
+  /** Whether a request may be sent to a server; refuses it otherwise. A request whose key was removed or given to another organisation while it waited begins no run, but a run that has begun goes on. */
   admits (pending: PendingRequest): boolean {
     const { request, organisation, mayHaveRun, headSent } = pending
-    if (organisation === null || mayHaveRun || headSent || this.#options.routes()?.organisation(request.keyHash) !== undefined) return true
-    pending.refuse(GatewayRefusal.UnknownKey)
+    if (mayHaveRun || headSent) return true
+    const current = this.#currentOrganisationOf(pending)
+    if (current === null || (current !== undefined && current.name === organisation?.name)) return true
+    // With a key that holds, the caller is served when it returns.
+    if (current === undefined) pending.refuse(...this.refusalOf(request))
+    else pending.refuse(GatewayRefusal.KeyNotYetKnown, RETRY_ELSEWHERE_MS)
     return false
   }
+
+  /** As organisationOf(), for a request that waits. If its route was removed meanwhile, it needs a key if it needed one before. */
+  #currentOrganisationOf ({ request, route, organisation }: PendingRequest): Organisation | null | undefined {
+    const currentRoute = this.#options.routes()?.select(request.host, request.path) ?? { ...route, anonymous: organisation === null }
+    return this.organisationOf(request, currentRoute)
+  }
 }
--- a/src/gateway/refusal.ts
+++ b/src/gateway/refusal.ts
@@ -5,7 +5,7 @@
   Malformed = 'malformed',
   /** The request has no key of an organisation, or one that the active configuration does not hold. */
   UnknownKey = 'unknown-key',
-  /** The request has a key that the active configuration does not hold, but a newer configuration may. */
+  /** The request has a key that the active configuration does not hold, but a newer configuration may; or its key was given to another organisation while it waited. */
   KeyNotYetKnown = 'key-not-yet-known',
   BodyTooLarge = 'body-too-large',
   /** The organisation has used up its quota. */
--- a/test/gateway/key-check.test.ts
+++ b/test/gateway/key-check.test.ts
@@ -62,6 +62,21 @@
     pending.abort('test')
   })
 
+  // Guards against a request that runs for the organisation that held its key when it arrived, or without a key that its route has come to need.
+  test.each([
+    ['gives its key to another organisation', withKeys(2, { 'org-b': ['key-a'] }), 'org-a', GatewayRefusal.KeyNotYetKnown],
+    ['ends the anonymity of its route', withKeys(2, { 'org-b': ['key-b'] }), null, GatewayRefusal.UnknownKey],
+    ['removes its route', withKeys(2, { 'org-a': ['key-a'] }, { routes: [] }), 'org-a', null],
+    ['removes all organisations', configuration({ version: 2 }), 'org-a', null]
+  ])('when a configuration %s while a request waits', (_name, next, name, refusal) => {
+    const responder = new RecordingResponder()
+    const organisation = name === null ? null : { name, keyHashes: [], priority: null, quota: null }
+    const pending = new PendingRequest({ request: callerRequest({ keyHash: hashKey('key-a') }), route: route(), service: 'plain', organisation, responder, nowMs: () => 0 })
+    expect(checkOf(next).admits(pending)).toBe(refusal === null)
+    expect(responder.refusal).toBe(refusal)
+    pending.abort('test')
+  })
+
   // Guards against an instance that serves requests without keys because a peer of an older version sent it the configuration.
   test('does not take a configuration from a peer that knows no organisations', () => {
     const { organisations: _organisations, requiresKeys: _requiresKeys, ...older } = configuration()
