--- a/src/gateway/placement-scheduler.ts
+++ b/src/gateway/placement-scheduler.ts
@@ -7,8 +7,6 @@
 import type { RunMemory } from './memory-forecast.js'
 import { expectedRemaining, remainingSpread } from './output-length.js'
 import { type DecisionCallback, type Placement, PlacementRefusal, type PlacementRequest, type RefusedPlacement, type RunProgress } from './placement.js'
-import { freeAtMs } from './prefill-backlog.js'
-import { PrefillDelays } from './prefill-delays.js'
 import { RefusedPrompts } from './refused-prompts.js'
 import { RequestAverages } from './request-averages.js'
 import { type Demand, poolCapacity, type RequestMix, runsOnFullRunner } from './role-balance.js'
@@ -32,6 +30,9 @@
 /** Speed below which a decode runner counts as slow in metrics, compared with the usual one. */
 const SLOW_SPEED = 0.8
 
+/** Time after the expected end of a prefill from which its runner counts as slowed down, as a multiple of its expected duration: a runner may answer some time after it has begun the next prompt. */
+const PREFILL_OVERDUE_FACTOR = 3
+
 /** Time from placement to the first event, not counting the prefill, in milliseconds: two network hops, the transfer of the prompt's KV cache and the decoding of the first event's tokens. */
 const FIRST_EVENT_MS = 120
 
@@ -107,7 +108,6 @@
   readonly #backoffUntilMs = new Map<string, number>()
   /** By prefill runner, when its last prefill ended, in milliseconds. */
   readonly #prefillEndsMs = new Map<string, number>()
-  readonly #prefillDelays = new PrefillDelays()
   /** By service, the resource that was missing for the first waiting request when a scheduling pass last stopped at it. */
   readonly #shortages = new Map<string, Shortage>()
   #warmUpUntilMs = -Infinity
@@ -184,10 +184,7 @@
     const run = this.#runs.get(id)
     if (run === undefined || run.prefill === null) return
     const { service, prefill } = run
-    if (tokensPerMs !== null) {
-      this.#recordPrefillDelay(run, prefill)
-      this.#measurePrefill(run, prefill)
-    }
+    if (tokensPerMs !== null) this.#measurePrefill(run, prefill)
     this.#runs.endPrefill(run)
     this.#updatePrefillStarts(service, prefill)
     this.#placeIfDue()
@@ -248,9 +245,8 @@
     const pool = this.#poolOf(service)
     if (pool === null) return
     const nowMs = this.#options.nowMs()
-    const firstEventMs = FIRST_EVENT_MS + this.#prefillDelays.expectedMs(service)
     this.#shortages.delete(service)
-    for (const { waiting, onTime } of this.#inOrder(service, waitingRequests, (candidate) => canBeOnTime(candidate, pool, { nowMs, firstEventMs }))) {
+    for (const { waiting, onTime } of this.#inOrder(service, waitingRequests, (candidate) => canBeOnTime(candidate, pool, nowMs))) {
       const { request, onDecision, pausedUntilMs } = waiting
       const run = this.#place(request, pool, onTime ? 1 : LATE_FILL_SHARE, ({ id }) => (pausedUntilMs.get(id) ?? -Infinity) <= nowMs)
       // The pass stops at the first request that does not fit, so that smaller requests behind it cannot starve it.
@@ -321,11 +317,6 @@
     return new RunnerPool({ prefill, decode, slots: engine.slots, nowMs, ...(permits === undefined ? {} : { mayTake: (backend) => permits.isAvailable(backend) }) })
   }
 
-  #recordPrefillDelay ({ service, placedMs, prefillStartMs, promptTokens }: Run, runner: string): void {
-    const expectedEndMs = Math.max(placedMs, prefillStartMs) + promptTokens / this.#speeds.expectedPrefillSpeed(service, runner)
-    this.#prefillDelays.record(service, this.#options.nowMs() - expectedEndMs)
-  }
-
   #measurePrefill ({ service, promptTokens, placedMs }: Run, runner: string): void {
     const nowMs = this.#options.nowMs()
     const previousEndMs = this.#prefillEndsMs.get(runner) ?? -Infinity
@@ -497,9 +488,19 @@
 }
 
 /** Whether the first event can be sent before the objective if the request is placed now. */
-function canBeOnTime ({ request, objectiveMs }: WaitingRequest, pool: RunnerPool, { nowMs, firstEventMs }: { nowMs: number, firstEventMs: number }): boolean {
+function canBeOnTime ({ request, objectiveMs }: WaitingRequest, pool: RunnerPool, nowMs: number): boolean {
   const promptMs = pool.prefillTimeMs(request.promptTokens) ?? request.promptTokens / DECODE_PREFILL_TOKENS_PER_MS
-  return objectiveMs - nowMs > promptMs + firstEventMs
+  return objectiveMs - nowMs > promptMs + FIRST_EVENT_MS
+}
+
+/** Time at which a prefill runner is expected to have processed its prompts, in milliseconds. One that is overdue is expected to take as long again as it is overdue, so that a runner that slows down for a moment does not count as free. */
+function freeAtMs (prefills: Run[], tokensPerMs: number, nowMs: number): number {
+  const lastEndMs = Math.max(nowMs, ...prefills.map((run) => run.prefillStartMs + run.promptTokens / tokensPerMs))
+  const [first] = prefills
+  if (first === undefined) return lastEndMs
+  const expectedMs = first.promptTokens / tokensPerMs
+  const overdueMs = nowMs - first.prefillStartMs - expectedMs
+  return overdueMs > PREFILL_OVERDUE_FACTOR * expectedMs ? lastEndMs + overdueMs : lastEndMs
 }
 
 function shareOf ({ service, organisation, priority, promptTokens, output }: PlacementRequest): ShareOfRequest {
