--- a/src/gateway/gateway-metrics.ts
+++ b/src/gateway/gateway-metrics.ts
@@ -21,6 +21,22 @@
   return new Gauge({ ...options, labelNames: ['listener'], collect () { for (const budget of budgets()) this.set({ listener: budget.name }, value(budget)) } })
 }
 
+/** Values that are read when the metrics are; each is 0, or none, by default. */
+interface GatewayMetricsOptions {
+  inFlight?: () => number
+  configurationBehindMs?: () => number
+  quarantinedParts?: () => number
+  limitedServers?: () => number
+  leavingServers?: () => number
+  pausedServers?: () => number
+  waitingForPlaces?: () => number
+  takenPlaces?: () => number
+  bufferedBytes?: () => number
+  coordinatedQuotas?: () => number
+  slowRunners?: () => number
+  connectionBudgets?: () => ConnectionBudget[]
+}
+
 /** Metrics of one gateway process, in a registry of its own. */
 export class GatewayMetrics {
   readonly registry = new Registry()
@@ -57,7 +73,7 @@
 
   readonly #organisations = new Set<string>()
 
-  constructor (options: { inFlight?: () => number, configurationBehindMs?: () => number, quarantinedParts?: () => number, limitedServers?: () => number, leavingServers?: () => number, pausedServers?: () => number, waitingForPlaces?: () => number, takenPlaces?: () => number, bufferedBytes?: () => number, coordinatedQuotas?: () => number, slowRunners?: () => number, connectionBudgets?: () => ConnectionBudget[] } = {}) {
+  constructor (options: GatewayMetricsOptions = {}) {
     const registers = [this.registry]
     this.endedRequests = new Counter({ name: 'daisybarrow_gateway_requests_total', help: 'Ended requests by kind of route and ending', labelNames: ['kind', 'ending'], registers })
     this.requestDuration = new Histogram({ name: 'daisybarrow_gateway_request_seconds', help: 'Time from arrival to the end of the answer in seconds', labelNames: ['kind'], buckets: DURATION_BUCKETS_S, registers })
