Give up unread answers only after their time, also on an instance that has run for long

Cause: a connection's first check for answers that are not read compared the clock with 0 instead of with a time of the connection. On an instance that has run for more than connections.unreadS (60 s), a complete answer of which no write had ended at the check was cut.

Change: the time starts with the connection.

Measured: the case with an instance that has run for 600 s fails without the change and passes with it; 32 tests of accepted-requests pass. Ruled out: memory, idle limits and time limits of requests.

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -64,12 +64,13 @@
   #parsing = false
   /** Bytes that the operating system had taken at the last check, and when they became more. */
   #sentBytes = 0
-  #sentMs = 0
+  #sentMs: number
   #unreadable = false
 
   constructor (options: CallerConnectionOptions) {
     this.#options = options
     const { socket, budget, scheduler } = options
+    this.#sentMs = budget.nowMs()
     this.hold = budget.open({ address: socket.remoteAddress ?? '', stage: () => this.#stage(), close: () => this.#close() })
     if (this.hold === null) return
     scheduler.add(this)
