--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -129,6 +129,8 @@
 
 /** The link from one instance to the store. While it is silent, no byte passes in either direction, and new connections get no answer. */
 export class Link {
+  /** When the instance last sent something, in milliseconds of the steady clock. */
+  usedMs = -Infinity
   #silent = false
   #sockets = new Set()
   server = createNetServer((near) => this.#connect(near))
@@ -145,6 +147,7 @@
 
   #connect (near) {
     const far = connect(this.target)
+    near.on('data', () => { this.usedMs = performance.now() })
     for (const [socket, other] of [[near, far], [far, near]]) {
       this.#sockets.add(socket)
       socket.on('data', (bytes) => { if (!this.#silent) other.write(bytes) })
@@ -371,11 +374,11 @@
 }
 
 /** A configuration with one idempotent and one other route to the plain service. */
-export function configuration (version, { limits = {}, more = {}, routes = [], services = [] } = {}) {
+export function configuration (version, { limits = {}, more = {}, service = 'plain', routes = [], services = [] } = {}) {
   const route = (name, kind, service) => ({ Name: name, Host: 'shop.example', PathPrefix: `/${name}/`, Kind: kind, Service: service, TimeoutMs: 1000, TargetLatencyMs: 150, Priority: 2, Attempts: 2, ...more })
   return {
     Version: version,
-    Routes: [route('check', 'idempotent', 'plain'), route('order', 'non_idempotent', 'plain'), ...routes],
+    Routes: [route('check', 'idempotent', 'plain'), route('order', 'non_idempotent', service), ...routes],
     Services: [{ Name: 'plain', MaxConnections: 110 }, ...services],
     Limits: { HeaderBytes: 16384, BodyBytes: 4194304, HeaderTimeoutMs: 3000, IdleTimeoutMs: 15000, ...limits }
   }
