--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -252,6 +252,7 @@
     const part = () => 1 + Math.floor(Math.random() * 250)
     this.net = `127.${part()}.${part()}`
     this.startedMs = performance.now()
+    for (const signal of ['SIGINT', 'SIGTERM']) process.once(signal, () => { this.close().finally(() => process.exit(2)) })
   }
 
   record (text) {
